--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -5,8 +5,8 @@
 from collections.abc import Iterable
 from typing import Any
 
-from milletstair import interface as api
-from milletstair.brain import Router
+from zincladder import interface as api
+from zincladder.decide import Router
 
 CACHE, PARENT, ORIGIN = 0, 1, 2
 SAFE = api.RequestClass(aim=0.5, deadline=5.0, aim_stretch=2.0, worth=2.0)
--- a/tests/test_defences.py
+++ b/tests/test_defences.py
@@ -7,9 +7,9 @@
 import sys
 from pathlib import Path
 
-from milletstair import interface as api
-from milletstair.brain import point
 from tests.conftest import FLEET, Driver, cache, finals, get, parent, sends
+from zincladder import interface as api
+from zincladder.decide import point
 
 R, N = api.Result, api.Note
 HIT = api.Note.HIT
--- a/tests/test_odd_events.py
+++ b/tests/test_odd_events.py
@@ -6,8 +6,8 @@
 
 import pytest
 
-from milletstair import interface as api
 from tests.conftest import CACHE, FLEET, ORIGIN, PARENT, Driver, cache, parent, settings
+from zincladder import interface as api
 
 R = api.Result
 NEVER_RAN = {R.REFUSED, R.UNREACHABLE, R.UNSENT, R.MISS}
--- a/tests/test_ring.py
+++ b/tests/test_ring.py
@@ -4,8 +4,8 @@
 
 from collections import Counter
 
-from milletstair.brain import Ring, point
 from tests.conftest import FLEET, ORIGIN_MEMBER, Driver, cache, parent
+from zincladder.decide import Ring, point
 
 KEYS = range(3000)
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
-from milletstair import interface as api
 from tests.conftest import FLEET, ORIGIN_MEMBER, Driver, cache, finals, get, parent, sends
+from zincladder import interface as api
 
 R = api.Result
 
--- /dev/null
+++ b/zincladder/__main__.py
@@ -0,0 +1,89 @@
+"""One real front: wires the parts together and runs them until SIGTERM."""
+
+from __future__ import annotations
+
+import logging
+import signal
+import sys
+
+import anyio
+import structlog
+
+from zincladder import config as configuration
+from zincladder import interface as api
+from zincladder.core.engine import Clock, Core
+from zincladder.net.caches import Caches
+from zincladder.net.clients import Clients
+from zincladder.net.feed import Feed, Listed, News, known_news
+
+log = structlog.get_logger()
+
+
+def tell(core: Core, caches: Caches, news: News) -> None:
+    """Hands one event of the coordinator to the parts that it concerns."""
+    if not isinstance(news, Listed):
+        core.purge(news.object, news.group, news.made)
+        return
+    for member, where in news.members:
+        if member.state is api.State.GONE:
+            caches.forget(member.id)
+        else:
+            caches.know(member.id, where)
+    kind = api.ListKind.FULL if news.whole else api.ListKind.DELTA
+    core.listed(kind, news.version, tuple(member for member, _ in news.members))
+
+
+async def stop_on_signal(clients: Clients) -> None:
+    """SIGTERM ends the front in order; what was taken is answered first."""
+    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+        async for _ in signals:
+            await clients.stop()
+
+
+async def front(config: configuration.Config) -> None:
+    """Runs all parts until the client side has ended."""
+    clock = Clock()
+    caches = Caches(config, clock.now)
+    core = Core(config.settings, config.seed, caches, clock)
+    last, events = known_news(config)
+    clients = Clients(config, core)
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(stop_on_signal, clients)
+        tasks.start_soon(caches.run)
+        for news in events:
+            tell(core, caches, news)
+        tasks.start_soon(core.run)
+        if config.coordinator:
+            tasks.start_soon(Feed(config.coordinator, last, lambda news: tell(core, caches, news)).run)
+        log.info(
+            "ready", name=config.name, listen="{}:{}".format(*clients.address), members=len(core.members)
+        )
+        await clients.run()
+        tasks.cancel_scope.cancel()
+    log.info("ended", answers={k[1]: n for k, n in core.counts.items() if k[0] == "answers"})
+
+
+def main() -> int:
+    """The process: 0 after an orderly stop, 2 on a configuration that cannot be used."""
+    structlog.configure(
+        processors=[
+            structlog.processors.add_log_level,
+            structlog.processors.TimeStamper(fmt="iso", utc=True),
+            structlog.processors.format_exc_info,
+            structlog.processors.JSONRenderer(),
+        ],
+        wrapper_class=structlog.make_filtering_bound_logger(logging.INFO),
+        logger_factory=structlog.PrintLoggerFactory(sys.stderr),
+    )
+    try:
+        config = configuration.load()
+        known_news(config)
+    except configuration.ConfigError as fault:
+        log.error("bad configuration", why=str(fault))
+        return 2
+    anyio.run(front, config)
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/zincladder/config.py
@@ -0,0 +1,287 @@
+"""The one place where configuration is read, checked and given defaults.
+
+The daemon's file (`RELAY_CONFIG`) and the simulator's start message hold the same `settings`, so both use
+`settings_from`. A fault is a ConfigError whose text names the key, written as a path from the top.
+"""
+
+from __future__ import annotations
+
+import json
+import os
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any, TypeVar
+
+from zincladder import interface as api
+
+T = TypeVar("T")
+Address = tuple[str, int]
+
+MEMORY_MB = 192  # defaults are the least that the platform promises
+SOCKETS = 1024
+
+
+class ConfigError(Exception):
+    """The configuration cannot be used; the text names the faulty key."""
+
+
+class Node:
+    """One object of the configuration and the path that leads to it."""
+
+    def __init__(self, data: Any, path: str) -> None:
+        if not isinstance(data, dict):
+            raise ConfigError(f"'{path}' must be an object, not {json.dumps(data)[:40]}")
+        self.data, self.path = data, path
+
+    def at(self, key: str) -> str:
+        return f"{self.path}.{key}" if self.path else key
+
+    def get(self, key: str, read: Callable[[Any], T], what: str, default: T | None) -> T:
+        """The value of a key, read by `read`; without a default the key must be there."""
+        value = self.data.get(key)
+        if value is None:
+            if default is None:
+                raise ConfigError(f"'{self.at(key)}' is missing: it must be {what}")
+            return default
+        try:
+            return read(value)
+        except (ValueError, TypeError, KeyError):
+            raise ConfigError(f"'{self.at(key)}' must be {what}, not {json.dumps(value)[:40]}") from None
+
+    def num(self, key: str, default: float | None = None) -> float:
+        return self.get(key, _number, "a number", default)
+
+    def whole(self, key: str, default: int | None = None) -> int:
+        return int(self.num(key, default))
+
+    def flag(self, key: str) -> bool:
+        return self.get(key, _flag, "true or false", False)
+
+    def text(self, key: str, default: str | None = None) -> str:
+        return self.get(key, _text, "a text", default)
+
+    def many(
+        self, key: str, read: Callable[[Any], T], what: str, default: list[T] | None = None
+    ) -> tuple[T, ...]:
+        return tuple(self.get(key, lambda v: [read(x) for x in _list(v)], f"a list of {what}", default))
+
+    def numbers(self, key: str) -> tuple[float, ...]:
+        return self.many(key, _number, "numbers", [])
+
+    def choice(self, key: str, choices: Mapping[str, T], default: T | None = None) -> T:
+        return self.get(key, choices.__getitem__, " or ".join(choices), default)
+
+    def sub(self, key: str) -> Node:
+        return Node(self.data.get(key) or {}, self.at(key))
+
+
+def _number(value: Any) -> float:
+    if isinstance(value, bool) or not isinstance(value, int | float):
+        raise ValueError
+    return float(value)
+
+
+def _flag(value: Any) -> bool:
+    if not isinstance(value, bool):
+        raise ValueError
+    return value
+
+
+def _text(value: Any) -> str:
+    if not isinstance(value, str):
+        raise ValueError
+    return value
+
+
+def _list(value: Any) -> list[Any]:
+    if not isinstance(value, list):
+        raise ValueError
+    return value
+
+
+def address(text: Any) -> Address:
+    """An address in the form 'HOST:PORT'."""
+    host, colon, port = _text(text).rpartition(":")
+    if not colon or not host or not 0 <= int(port) <= 65535:
+        raise ValueError
+    return host, int(port)
+
+
+# The settings of the decisions --------------------------------------------------------------------
+
+_EFFECTS = {
+    "idempotent": api.Effect.SAFE,
+    "deduplicated": api.Effect.KEYED,
+    "at_most_once": api.Effect.UNSAFE,
+}
+_SCOPES = {scope.value: scope for scope in api.Scope}
+_PEER_FILLS = {fill.value: fill for fill in api.PeerFill}
+REPORTS = {"rif": "held", "inflight": "held", "q": "queued", "queue": "queued", "x0": "hits", "x1": "link",
+           "util": "busy"}  # fmt: skip
+
+
+def _classes(conf: Node, domain: Node) -> tuple[api.RequestClass, ...]:
+    fresh, usable = domain.numbers("freshFor"), domain.numbers("usableAfter")
+    stale = domain.numbers("classStaleWorth")
+    kept, parts = domain.many("neverKept", _flag, "flags", []), domain.many("inPieces", _flag, "flags", [])
+
+    def of(values: tuple[T, ...], i: int, absent: T) -> T:
+        return values[i] if i < len(values) else absent
+
+    found = []
+    for i, raw in enumerate(conf.get("categories", _list, "a list", None)):
+        c = Node(raw, f"{conf.at('categories')}[{i}]")
+        found.append(
+            api.RequestClass(
+                aim=c.num("onTime"),
+                deadline=c.num("deadline"),
+                effect=c.choice("effect", _EFFECTS),
+                aim_stretch=c.num("aimStretch", 0.0),
+                worth=c.num("value", 1.0),
+                late_worth=c.num("lateWorth", 0.0),
+                scope=c.choice("keyScope", _SCOPES, api.Scope.ALL),
+                window=c.num("window", 0.0),
+                streamed=c.flag("stream"),
+                fresh_for=of(fresh, i, 0.0),
+                usable_after=of(usable, i, 0.0),
+                stale_worth=of(stale, i, 0.0),
+                never_kept=of(kept, i, False),
+                in_parts=of(parts, i, False),
+            )
+        )
+    return tuple(found)
+
+
+def settings_of(conf: Node) -> api.Settings:
+    """The settings of a Router; unknown keys are skipped."""
+    domain, limits, rules = conf.sub("domain"), conf.sub("ceilings"), conf.sub("invariants")
+    report, fall_after = conf.sub("report"), rules.num("overloadFor", 1.0)
+    return api.Settings(
+        classes=_classes(conf, domain),
+        zone=conf.whole("az", 0),
+        routers_by_zone=tuple(map(int, domain.numbers("seatsByZone"))),
+        routers=conf.whole("replicasOfMe", 1),
+        instance=conf.whole("me", 0),
+        parent_kind=domain.whole("midKind", -1),
+        origin_kind=domain.whole("originKind", -1),
+        hub_of_zone=tuple(map(int, domain.numbers("attachedTo"))),
+        link_kb_per_s=domain.numbers("pipeKbPerS"),
+        client_kb_per_s=domain.num("clientKbPerS", 0.0),
+        cold_cache=api.ColdRule(
+            rules.num("coldFrom", 1.0), rules.num("warmUp", 0.0), rules.num("fallMultiple", 0.0), fall_after
+        ),
+        cold_parent=api.ColdRule(
+            domain.num("parentStartsAt", 1.0),
+            domain.num("parentRamp", 0.0),
+            domain.num("upperFallMultiple", 0.0),
+            fall_after,
+        ),
+        drain_grace=rules.num("drainGrace", 0.0),
+        answer_slack=rules.num("answerSlack", 0.0),
+        purge_grace=domain.num("noticeTime", 0.0),
+        purge_done=domain.num("goneEverywhere", 0.0),
+        max_attempts=limits.whole("attemptsCap", 1),
+        connect_timeout=limits.num("connectTimeout", 0.0),
+        may_cancel=limits.flag("mayCancel"),
+        second_copies=limits.flag("secondCopies"),
+        probes=limits.flag("probes"),
+        retry_after=limits.flag("retryAfter"),
+        max_retry_after=limits.num("maxRetryAfter", 0.0),
+        bypass=domain.flag("mayPassBy"),
+        joins_fills=domain.flag("mergesFills"),
+        peer_fill=domain.choice("peersFill", _PEER_FILLS, api.PeerFill.OFF),
+        origin_stops_at=domain.num("originStopsAt", 0.0),
+        origin_stops_after=domain.num("rootFall", 0.0),
+        weights_listed=conf.text("weightSource", "off") in ("nominal", "rough"),
+        must_subscribe=conf.text("registryMode", "automatic") == "subscribe",
+        subscribe_within=rules.num("mustAskIn", 0.0),
+        report_names=tuple(REPORTS.get(n, n) for n in report.many("names", _text, "texts", [])),
+        load_by_probe=report.text("how", "off") == "on_probe",
+        clients_mark_retries=conf.sub("clients").flag("marksRetry"),
+    )
+
+
+def settings_from(text: bytes) -> api.Settings:
+    """The settings in the simulator's start message."""
+    return settings_of(Node(_parsed(text, "settings"), "settings"))
+
+
+def _parsed(text: bytes, name: str) -> Any:
+    try:
+        return json.loads(text)
+    except ValueError as fault:
+        raise ConfigError(f"{name} is not JSON: {fault}") from None
+
+
+# The daemon's file --------------------------------------------------------------------------------
+
+
+@dataclass(frozen=True, slots=True)
+class Names:
+    """What the settings name and number: a place in the list is the number on the wires."""
+
+    classes: tuple[str, ...]
+    zones: tuple[str, ...]
+    kinds: tuple[str, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Config:
+    """All that one front is told."""
+
+    name: str
+    listen: Address
+    coordinator: Address | None
+    seed: int
+    memory_mb: int
+    sockets: int
+    settings: api.Settings
+    names: Names
+    idle_close: float
+    streams: int
+    known: dict[str, Any]
+
+
+def config_of(data: Any) -> Config:
+    """The daemon's configuration from its JSON."""
+    top = Node(data, "")
+    conf, limits = Node(top.data.get("settings"), "settings"), top.sub("limits")
+    ceilings = conf.sub("ceilings")
+    raw = conf.get("categories", _list, "a list", None)
+    names = Names(
+        tuple(Node(c, f"settings.categories[{i}]").text("name") for i, c in enumerate(raw)),
+        conf.many("zones", _text, "texts", []),
+        conf.many("models", _text, "texts", []),
+    )
+    return Config(
+        name=top.text("name", "front"),
+        listen=top.get("listen", address, "an address like 127.0.0.1:8080", None),
+        coordinator=top.get("coordinator", address, "an address like 127.0.0.1:4222", None)
+        if "coordinator" in top.data
+        else None,
+        seed=top.get("seed", lambda v: int(_text(v), 16), "hex digits", 0),
+        memory_mb=limits.whole("memory_mb", MEMORY_MB),
+        sockets=limits.whole("sockets", SOCKETS),
+        settings=settings_of(conf),
+        names=names,
+        idle_close=ceilings.num("idleClose", 30.0),
+        streams=ceilings.whole("streamsPerConn", 100),
+        known=top.sub("known").data,
+    )
+
+
+def load(environ: Mapping[str, str] = os.environ) -> Config:
+    """Reads the file named by RELAY_CONFIG; RELAY_LISTEN and RELAY_NAME go before what it says."""
+    path = environ.get("RELAY_CONFIG")
+    if not path:
+        raise ConfigError("'RELAY_CONFIG' is not set: it must name the configuration file")
+    try:
+        text = Path(path).read_bytes()
+    except OSError as fault:
+        raise ConfigError(f"'RELAY_CONFIG' cannot be read: {fault}") from None
+    data = _parsed(text, "RELAY_CONFIG's file")
+    if isinstance(data, dict):
+        for variable, key in (("RELAY_LISTEN", "listen"), ("RELAY_NAME", "name")):
+            data |= {key: environ[variable]} if variable in environ else {}
+    return config_of(data)
--- /dev/null
+++ b/zincladder/core/engine.py
@@ -0,0 +1,346 @@
+"""Runs one Router: gives it every event in order and carries its actions out.
+
+A front calls `serve` once for each request, or `steer` where the client itself goes to the member. The
+other side, which reaches the members, is a `Carrier`. Neither side decides anything.
+"""
+
+from __future__ import annotations
+
+import heapq
+import math
+import time
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Protocol
+
+import anyio
+import anyio.lowlevel
+import structlog
+from anyio.abc import TaskGroup
+
+from zincladder import interface as api
+from zincladder.core.ends import End, How
+from zincladder.decide import Router
+
+DUE_MARGIN = 0.02  # seconds before the client's own deadline: time to write the answer that ends it
+log = structlog.get_logger()
+
+
+@dataclass(frozen=True, slots=True)
+class Ask:
+    """A request as a front hands it over; `due` is a time on the core's clock."""
+
+    trace: str
+    klass: int
+    object: int
+    part: int | None
+    group: int
+    due: float
+    repeat: bool = False
+    write: bool = False
+    tag: str = ""  # of a copy that the client holds
+    body: bytes = b""
+    size_kb: float = 0.0
+
+
+@dataclass(slots=True)
+class Order:
+    """One attempt, as the carrier is to make it."""
+
+    ask: Ask
+    member: api.MemberId
+    source: api.MemberId | None = None  # None: no fill
+    keep: int = 0
+    max_age: float = 0.0
+    join: bool = False
+    held_only: bool = False
+    parent_passes: bool = False
+    renew: bool = False
+    until: float = 0.0  # when the wait for it ends
+    may_go: Callable[[], bool] = lambda: True  # asked again when its first byte is about to be written
+    age_now: Callable[[], float] = lambda: 0.0  # the oldest copy that will do, as of that moment
+
+
+class Carrier(Protocol):
+    """What reaches the members."""
+
+    async def carry(self, order: Order) -> End:
+        """Makes one attempt. Cancelling it gives the attempt up."""
+
+    async def probe(self, member: api.MemberId) -> End:
+        """Asks a member for its load."""
+
+    def close_idle(self, member: api.MemberId) -> None:
+        """Closes idle connections to a member."""
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """The final answer: a served end, or a refusal (harmless to repeat) or a failure."""
+
+    kind: str  # "served", "refused" or "failed"
+    end: End | None = None
+    retry_after: float = 0.0
+
+
+@dataclass(slots=True)
+class Life:
+    """What the core keeps of a request while it is owed its answer."""
+
+    ask: Ask
+    attempts: TaskGroup
+    sends: int = 0
+    out: dict[int, tuple[Order, anyio.CancelScope, float]] = field(default_factory=dict)
+    ends: list[tuple[int, End]] = field(default_factory=list)
+    news: anyio.Event = field(default_factory=anyio.Event)
+    final: Answer | None = None
+
+
+class Clock:
+    """Unix time that never steps back: deadlines of requests under way must not move."""
+
+    def __init__(self) -> None:
+        self._offset = time.time() - time.monotonic()
+
+    def now(self) -> float:
+        return time.monotonic() + self._offset
+
+
+class Core:
+    """One Router and all that it needs to act."""
+
+    def __init__(
+        self, settings: api.Settings, seed: int, carrier: Carrier, clock: Clock | None = None
+    ) -> None:
+        self.settings = settings
+        self.router = Router(settings, seed)
+        self.carrier = carrier
+        self.clock = clock or Clock()
+        self.members: dict[api.MemberId, api.Member] = {}
+        self.purged: dict[tuple[int | None, int], float] = {}
+        self.lives: dict[int, Life] = {}
+        self.counts: Counter[tuple[str, str]] = Counter()
+        self._requests = 0
+        self._timers: list[tuple[float, int]] = []
+        self._timer_news = anyio.Event()
+        self._probes: list[api.MemberId] = []
+
+    # One request ------------------------------------------------------------------------------
+
+    async def serve(self, ask: Ask) -> Answer:
+        """The life of one request, from its arrival to its one answer. Cancelling it: the client left."""
+        number = self._number()
+        try:
+            async with anyio.create_task_group() as attempts:
+                life = self.lives[number] = Life(ask, attempts)
+                # The first point of choice: which member, from where a miss is filled, what is kept.
+                self._tell(self._request(number, ask))
+                while life.final is None:
+                    ended = await self._next_end(life)
+                    if ended is None:
+                        life.final = Answer("failed")
+                        self._tell(api.ClientLeft(number))
+                        break
+                    n, end = ended
+                    order, _, sent_at = life.out.pop(n)
+                    served = end.result is api.Result.OK
+                    if served:
+                        life.final = Answer("served", end)
+                    # Every further point of choice: another attempt, a refusal, a failure, or waiting on.
+                    self._tell(self._ended(number, n, order, end, sent_at, served))
+                attempts.cancel_scope.cancel()  # second copies that are still out
+            assert life.final is not None
+            self.counts["answers", life.final.kind] += 1
+            return life.final
+        finally:
+            self._forget(number)
+
+    async def _next_end(self, life: Life) -> tuple[int, End] | None:
+        """The next end of one of its attempts; None when there is none to wait for."""
+        while not life.ends:
+            life.news = anyio.Event()
+            # Guards rule 1: an attempt ends by its own limit, but a request held without one has none.
+            with anyio.CancelScope() as waiting:
+                if not life.out:
+                    waiting.deadline = anyio.current_time() + max(0.0, life.ask.due - self.clock.now())
+                await life.news.wait()
+            if waiting.cancelled_caught and not life.ends:
+                return None
+        return life.ends.pop(0)
+
+    async def _attempt(self, life: Life, n: int, order: Order, scope: anyio.CancelScope) -> None:
+        end = End(How.CALLED_OFF)
+        with scope:
+            await anyio.lowlevel.checkpoint_if_cancelled()  # called off before it began: nothing is written
+            end = await self.carrier.carry(order)
+        if scope.cancelled_caught:
+            late = self.clock.now() >= order.until
+            end = End(How.SILENT if late else How.CALLED_OFF, why="patience")
+        life.ends.append((n, end))
+        life.news.set()
+
+    def _forget(self, number: int) -> None:
+        """Closes the books of a request: the module hears of each attempt's end exactly once."""
+        life = self.lives.pop(number)
+        if life.final is None:
+            self.counts["answers", "withdrawn"] += 1
+            self._tell(api.ClientLeft(number))
+        for n, (order, _, sent_at) in life.out.items():
+            self._tell(self._ended(number, n, order, End(How.CALLED_OFF), sent_at, True))
+
+    def steer(self, ask: Ask) -> api.MemberId | None:
+        """The member to which a client is sent that goes there itself; None: the module gave up.
+
+        Nobody sees how it fares, so no outcome is told: the attempt ends as never sent, which it was not.
+        """
+        number = self._number()
+        chosen: api.MemberId | None = None
+        for action in self._handle(self._request(number, ask)):
+            if isinstance(action, api.Get | api.Look) and chosen is None:
+                chosen = action.member
+                unsent = api.AttemptEnded(number, 0, action.member, api.Result.UNSENT, 0.0, True)
+        if chosen is not None:
+            self._handle(unsent)
+        self.counts["steered", "refused" if chosen is None else "named"] += 1
+        return chosen if chosen is None or self._ready(chosen) else None
+
+    def _number(self) -> int:
+        self._requests += 1
+        return self._requests
+
+    def _request(self, number: int, ask: Ask) -> api.Request:
+        return api.Request(
+            number,
+            ask.object,
+            ask.group,
+            ask.part or 0,
+            ask.klass,
+            ask.size_kb,
+            ask.due,
+            ask.repeat,
+            ask.write,
+        )
+
+    def _ended(
+        self, number: int, n: int, order: Order, end: End, sent_at: float, closed: bool
+    ) -> api.AttemptEnded:
+        self.counts["attempts", end.how.name.lower()] += 1
+        latency = self.clock.now() - sent_at
+        return api.AttemptEnded(
+            number, n, order.member, end.result, latency, closed, end.note, 0.0, end.report
+        )
+
+    # News ---------------------------------------------------------------------------------------
+
+    def listed(self, kind: api.ListKind, version: int, members: tuple[api.Member, ...]) -> None:
+        """The list, or changes to it."""
+        if kind is not api.ListKind.DELTA:
+            self.members.clear()
+        for member in members:
+            if member.state is api.State.GONE:
+                self.members.pop(member.id, None)
+            else:
+                self.members[member.id] = member
+        self._tell(api.MemberList(kind, version, members))
+
+    def purge(self, obj: int | None, group: int, made: float) -> None:
+        """A purge of one object, or of a whole group, at a Unix time."""
+        now = self.clock.now()
+        self.purged = {k: t for k, t in self.purged.items() if now - t <= self.settings.purge_done}
+        what = (None, group) if obj is None else (obj, -1)
+        self.purged[what] = max(made, self.purged.get(what, 0.0))
+        self._tell(api.Purged(obj, group, max(0.0, now - made)))
+
+    def _ready(self, *members: api.MemberId | None) -> bool:
+        return all(
+            m is None or (m in self.members and self.members[m].state is api.State.READY) for m in members
+        )
+
+    # Actions ------------------------------------------------------------------------------------
+
+    def _handle(self, event: api.Event) -> list[api.Action]:
+        return self.router.handle(event, self.clock.now())
+
+    def _tell(self, event: api.Event) -> None:
+        for action in self._handle(event):
+            self._act(action)
+
+    def _act(self, action: api.Action) -> None:
+        match action:
+            case api.Get() | api.Look():
+                self._send(action)
+            case api.Cancel(request, attempt):
+                life = self.lives.get(request)
+                if life and attempt in life.out:
+                    life.out[attempt][1].cancel()
+            case api.Refuse(request, retry_after):
+                self._finish(request, Answer("refused", retry_after=retry_after))
+            case api.Fail(request):
+                self._finish(request, Answer("failed"))
+            case api.SetTimer(delay, token):
+                heapq.heappush(self._timers, (self.clock.now() + delay, token))
+                self._timer_news.set()
+            case api.Probe(member):
+                self._probes.append(member)
+                self._timer_news.set()
+            case api.CloseIdle(member):
+                self.carrier.close_idle(member)
+            case api.Log(text):
+                log.info("router", text=text)
+            case _:  # the list comes unasked, and routers have no way to talk to each other
+                log.warning("action not possible here", action=type(action).__name__)
+
+    def _finish(self, request: int, answer: Answer) -> None:
+        life = self.lives.get(request)
+        if life and life.final is None:
+            life.final = answer
+
+    def _send(self, action: api.Get | api.Look) -> None:
+        life = self.lives[action.request]
+        n, life.sends = life.sends, life.sends + 1
+        ask, now = life.ask, self.clock.now()
+        until = min(ask.due, now + (action.time_out or math.inf))
+        order = Order(ask, action.member, until=until)
+        if isinstance(action, api.Get):
+            order.source = None if action.source == action.member else action.source
+            order.keep, order.max_age, order.join = action.keep, action.max_age, action.join
+            order.held_only, order.renew = action.held_only, action.renew
+            order.parent_passes = action.parent_passes
+        order.may_go = lambda: self._ready(order.member, order.source)
+        order.age_now = lambda: self._age(order)
+        scope = anyio.CancelScope(deadline=anyio.current_time() + max(0.0, until - now) + 1e-3)
+        life.out[n] = (order, scope, now)
+        life.attempts.start_soon(self._attempt, life, n, order, scope)
+
+    def _age(self, order: Order) -> float:
+        """Guards rule 5 against a purge that was told between the decision and the send."""
+        ask = order.ask
+        made = max(self.purged.get(k, 0.0) for k in ((ask.object, -1), (None, ask.group)))
+        age = self.clock.now() - made
+        if age > self.settings.purge_done:
+            return order.max_age
+        return max(1e-3, min(age, order.max_age or self.settings.classes[ask.klass].fresh_for or math.inf))
+
+    # Timers and probes --------------------------------------------------------------------------
+
+    async def run(self) -> None:
+        """Fires timers and makes probes until it is cancelled."""
+        async with anyio.create_task_group() as probes:
+            while True:
+                self._timer_news = anyio.Event()
+                while self._probes:
+                    probes.start_soon(self._probe, self._probes.pop())
+                while self._timers and self._timers[0][0] <= self.clock.now():
+                    self._tell(api.TimerFired(heapq.heappop(self._timers)[1]))
+                if self._probes:
+                    continue
+                pause = self._timers[0][0] - self.clock.now() if self._timers else math.inf
+                with anyio.move_on_after(max(0.0, pause)):
+                    await self._timer_news.wait()
+
+    async def _probe(self, member: api.MemberId) -> None:
+        started = self.clock.now()
+        end = await self.carrier.probe(member)
+        self.counts["probes", end.how.name.lower()] += 1
+        self._tell(api.ProbeEnded(member, end.result, self.clock.now() - started, end.report))
--- a/milletstair/brain.py
+++ b/zincladder/decide.py
@@ -1,4 +1,4 @@
-"""The decisions of milletstair. Its types, events and actions stand in `milletstair/interface.py`.
+"""The decisions of zincladder. Its types, events and actions stand in `zincladder/interface.py`.
 
 The ordinary path: MD5 picks a part's edge cache on a ring over the location's caches, and its object's fill
 source on one over all listed parents; copies have one rank. All else acts only on what this router has seen.
@@ -12,7 +12,7 @@
 from hashlib import md5
 from random import Random
 
-from milletstair import interface as api
+from zincladder import interface as api
 
 POINTS = 16  # virtual nodes for each transfer that a member's link fits: shares follow links within a tenth
 POINTS_EVEN = 128  # where no weights are listed; the paper's 4 leave some members twice the share of others
--- a/milletstair/simhost.py
+++ b/zincladder/drill.py
@@ -5,8 +5,8 @@
 import sys
 from typing import BinaryIO
 
-from milletstair import wire
-from milletstair.brain import Router
+from zincladder import wire
+from zincladder.decide import Router
 
 
 def _fault(error: Exception) -> str:
@@ -56,7 +56,7 @@
     try:
         run(sys.stdin.buffer, sys.stdout.buffer)
     except wire.WireError as error:
-        print(f"milletstair: malformed input: {error}", file=sys.stderr)
+        print(f"zincladder: malformed input: {error}", file=sys.stderr)
         return 2
     return 0
 
--- /dev/null
+++ b/zincladder/net/__init__.py
@@ -0,0 +1,1 @@
+"""The platform's side: clients (framed Thrift), quay caches (lines) and the coordinator's feed."""
--- /dev/null
+++ b/zincladder/net/caches.py
@@ -0,0 +1,296 @@
+"""The cache side: attempts and probes as lines of words over shared connections."""
+
+from __future__ import annotations
+
+import math
+import socket
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass, field
+
+import anyio
+import structlog
+from anyio.abc import TaskGroup
+
+from zincladder import interface as api
+from zincladder.config import REPORTS, Address, Config
+from zincladder.core.ends import End, How
+from zincladder.core.engine import Order
+from zincladder.net.stream import Ended, Entry, Inbox, Outbox, connect
+
+MOST_HEAD = 4096
+MOST_BODY = 1 << 20  # an object's part has 240,000 bytes at most
+IDLE_SHARE = 0.7  # of the caches' own idle time: this side closes first, so that no request crosses a close
+CACHES_SHARE = 0.4  # of the descriptors
+PROBE_LIMIT = 1.0  # seconds for the answer to a probe
+STALL = 10.0
+CONNECT_LIMIT = 0.4  # where the settings name none
+ENDS = {
+    b"200": How.SERVED,
+    b"304": How.SAME,
+    b"404": How.LACKING,
+    b"503": How.FULL,
+    b"500": How.FAULTED,
+    b"504": How.TOO_LATE,
+    b"alive": How.SERVED,
+    b"dead": How.FULL,
+}
+NOTES = {
+    name: api.Note(i + 1)
+    for i, name in enumerate(
+        (
+            "local",
+            "pulled",
+            "pulled_far",
+            "rode",
+            "expired",
+            "turned_away",
+            "cut_off",
+            "not_there",
+            "no_place",
+            "far_fault",
+        )
+    )
+}
+log = structlog.get_logger()
+
+
+@dataclass(slots=True, eq=False)
+class _Waiting:
+    """One request or probe that is open on a connection."""
+
+    news: anyio.Event = field(default_factory=anyio.Event)
+    entry: Entry | None = None
+    end: End | None = None
+
+    def finish(self, end: End) -> None:
+        if self.end is None:
+            self.end = end
+            self.news.set()
+
+
+class _Link:
+    """One connection to a member: many requests, answers in any order."""
+
+    def __init__(self, sock: socket.socket, report_names: Sequence[str]) -> None:
+        self.sock, self._names = sock, report_names
+        self.inbox, self.outbox = Inbox(sock), Outbox(sock)
+        self.open: dict[bytes, _Waiting] = {}
+        self.given_up: set[bytes] = set()  # their answers may still come, so the ids are not used again
+        self.closed = False
+        self.used_at = anyio.current_time()
+        self.scope = anyio.CancelScope()
+
+    async def run(self) -> End:
+        """Reads answers until the connection ends; what is open ends with it."""
+        how, why = How.IDLE, ""
+        try:
+            with self.scope:
+                async with anyio.create_task_group() as tasks:
+                    tasks.start_soon(self.outbox.run, STALL)
+                    await self._read()
+        except* Ended as group:
+            first = group.exceptions[0]
+            while isinstance(first, BaseExceptionGroup):
+                first = first.exceptions[0]
+            assert isinstance(first, Ended)
+            how, why = first.how, str(first)
+        finally:
+            self.closed = True
+            self.sock.close()
+            for waiting in list(self.open.values()):
+                # Only an id of which no byte was written is proved never to have run.
+                unwritten = waiting.entry is not None and not waiting.entry.begun
+                cut = How.CUT if how in (How.CLOSED, How.IDLE) else how
+                waiting.finish(End(How.NOT_WRITTEN if unwritten else cut, why=why))
+        return End(how, why=why)
+
+    async def _read(self) -> None:
+        while True:
+            line = await self.inbox.line(MOST_HEAD)
+            if not line:
+                continue
+            words = line.split(b" ")
+            if len(words) < 2 or words[1] not in ENDS:
+                raise Ended(How.GARBLED, f"not an answer: {line[:60]!r}")
+            length, fields = 0, b"-"
+            if len(words) > 2:
+                fields = words[2]
+                if len(words) != 4 or not words[3].isdigit() or int(words[3]) > MOST_BODY:
+                    raise Ended(How.GARBLED, f"not an answer: {line[:60]!r}")
+                length = int(words[3])
+            body = bytearray()
+            if length:
+                body = await self.inbox.exactly(length)
+                if await self.inbox.exactly(2) != b"\r\n":
+                    raise Ended(How.GARBLED, "a body without its end")
+            self.used_at = anyio.current_time()
+            waiting = self.open.pop(words[0], None)
+            if waiting is not None:
+                waiting.finish(self._end(words[1], fields, body))
+            elif words[0] not in self.given_up:
+                log.warning("answer that nobody asked for", id=words[0][:40].decode("latin-1"))
+
+    def _end(self, word: bytes, raw: bytes, body: bytearray) -> End:
+        fields: dict[str, str] = {}
+        if raw != b"-":
+            for pair in raw.decode("latin-1").split(","):
+                name, _, value = pair.partition("=")
+                fields[name] = value
+        note = NOTES.get(fields.get("tell", ""), api.Note.NONE)
+        return End(ENDS[word], body, note, self._report(fields.get("meter", "")), fields)
+
+    def _report(self, text: str) -> tuple[float, ...]:
+        """The load report in the order of the settings; nothing when a figure is missing."""
+        values: dict[str, float] = {}
+        for pair in text.split(";") if text else ():
+            name, _, value = pair.partition(":")
+            try:
+                values[REPORTS.get(name, name)] = float(value)
+            except ValueError:
+                return ()
+        return tuple(values[n] for n in self._names) if all(n in values for n in self._names) else ()
+
+
+class Caches:
+    """Connections to all members: the carrier of the core."""
+
+    def __init__(self, config: Config, now: Callable[[], float]) -> None:
+        self._config, self._now = config, now
+        self._names = config.settings.report_names
+        self._class_names = config.names.classes
+        self._addresses: dict[api.MemberId, Address] = {}
+        self._links: dict[api.MemberId, list[_Link]] = {}
+        self._opening: dict[api.MemberId, anyio.Lock] = {}
+        self._tasks: TaskGroup | None = None
+        self._count = 0
+        self._probes = 0
+        self.opened = 0
+
+    async def run(self) -> None:
+        """Keeps the connections until it is cancelled."""
+        async with anyio.create_task_group() as self._tasks:
+            while True:
+                await anyio.sleep(1.0)
+                oldest = anyio.current_time() - IDLE_SHARE * self._config.idle_close
+                for links in list(self._links.values()):
+                    for link in links:
+                        if not link.open and link.used_at < oldest:
+                            link.scope.cancel()
+
+    def know(self, member: api.MemberId, address: Address) -> None:
+        """Where a member listens. An id is one process, so an address used again is another member's."""
+        self._addresses[member] = address
+
+    def forget(self, member: api.MemberId) -> None:
+        """A member that is gone: what is open on it may still end by itself."""
+        self.close_idle(member)
+
+    def close_idle(self, member: api.MemberId) -> None:
+        for link in self._links.get(member, ()):
+            if not link.open:
+                link.scope.cancel()
+
+    async def carry(self, order: Order) -> End:
+        try:
+            link = await self._link(order.member, order.ask.trace.encode())
+        except (OSError, TimeoutError) as fault:
+            return End(How.NO_CONNECTION, why=str(fault))
+        if not order.may_go():
+            return End(How.TURNED, note=api.Note.SOURCE_FAILED if order.source else api.Note.NONE)
+        return await self._exchange(link, order.ask.trace.encode(), self._fetch(order), order)
+
+    async def probe(self, member: api.MemberId) -> End:
+        self._probes += 1
+        tag = b"p%d" % self._probes
+        end = End(How.SILENT)
+        with anyio.move_on_after(PROBE_LIMIT):
+            try:
+                link = await self._link(member, tag)
+            except (OSError, TimeoutError) as fault:
+                return End(How.NO_CONNECTION, why=str(fault))
+            end = await self._exchange(link, tag, [b"stats " + tag + b"\r\n"], None)
+        return end
+
+    async def _exchange(self, link: _Link, name: bytes, parts: Sequence[bytes], order: Order | None) -> End:
+        """One message and the wait for its answer; cancelled, it is given up on the wire too."""
+        waiting = link.open[name] = _Waiting()
+        entry = waiting.entry = link.outbox.put(parts, order.may_go if order else None)
+        try:
+            while waiting.end is None:
+                if entry.refused:
+                    return End(How.TURNED)
+                await waiting.news.wait()
+            return waiting.end
+        finally:
+            if waiting.end is None:
+                link.open.pop(name, None)
+                if not link.closed and not link.outbox.drop(entry) and order is not None:
+                    link.given_up.add(name)
+                    link.outbox.put([b"abort " + name + b"\r\n"])
+
+    def _fetch(self, order: Order) -> list[bytes]:
+        ask = order.ask
+        left = order.until - self._now()
+        fields = [f"cls={self._class_names[ask.klass]}", f"item={ask.object:016x}"]
+        if ask.part is not None:
+            fields.append(f"chunk={ask.part}")
+        fields.append(f"limit={max(1, math.floor(left * 1000))}")
+        if order.source is not None:
+            fields.append(f"up={order.source.decode()}")
+        if order.keep:
+            fields.append(f"store={order.keep}")
+        age = order.age_now()
+        if 0 < age < math.inf:
+            fields.append(f"cap={max(1, math.floor(age * 1000))}")
+        how = (
+            ("join", order.join),
+            ("held", order.held_only),
+            ("nocopy", order.parent_passes),
+            ("renew", order.renew),
+        )
+        if words := "+".join(word for word, on in how if on):
+            fields.append(f"do={words}")
+        if ask.tag:
+            fields.append(f"inm={ask.tag}")
+        head = f"fetch {ask.trace} {','.join(fields)} {len(ask.body)}\r\n".encode()
+        return [head, ask.body, b"\r\n"]
+
+    async def _link(self, member: api.MemberId, name: bytes) -> _Link:
+        """A connection with room for one more of that id, opened where there is none."""
+        if found := self._usable(member, name):
+            return found
+        async with self._opening.setdefault(member, anyio.Lock()):
+            if found := self._usable(member, name):  # another request opened it meanwhile
+                return found
+            if self._count >= self._config.sockets * CACHES_SHARE:
+                self._make_room()
+            with anyio.fail_after(self._config.settings.connect_timeout or CONNECT_LIMIT):
+                sock = await connect(*self._addresses[member])
+            link = _Link(sock, self._names)
+            self._links.setdefault(member, []).append(link)
+            self._count += 1
+            self.opened += 1
+            assert self._tasks is not None
+            self._tasks.start_soon(self._keep, member, link)
+            return link
+
+    def _usable(self, member: api.MemberId, name: bytes) -> _Link | None:
+        for link in self._links.get(member, ()):
+            full = len(link.open) >= self._config.streams or name in link.open or name in link.given_up
+            if not (link.closed or link.scope.cancel_called or link.outbox.ended or full):
+                return link
+        return None
+
+    def _make_room(self) -> None:
+        """Guards the descriptors: the connection that was idle longest makes room."""
+        idle = [link for links in self._links.values() for link in links if not link.open and not link.closed]
+        if not idle:
+            raise OSError("no descriptor is left for one more connection")
+        min(idle, key=lambda link: link.used_at).scope.cancel()
+
+    async def _keep(self, member: api.MemberId, link: _Link) -> None:
+        end = await link.run()
+        self._count -= 1
+        self._links[member].remove(link)
+        if end.how in (How.GARBLED, How.STALLED):
+            log.warning("cache connection ended", member=member.decode(), how=end.how.name, why=end.why)
--- /dev/null
+++ b/zincladder/net/stream.py
@@ -0,0 +1,224 @@
+"""Sockets with parsing in place and gathered writes."""
+
+from __future__ import annotations
+
+import errno
+import socket
+from collections import deque
+from collections.abc import Callable, Sequence
+
+import anyio
+
+from zincladder.core.ends import How
+
+Part = bytes | bytearray | memoryview
+FIRST_BUFFER = 8192
+MOST_PARTS = 64  # of one gathered write; the system takes 1,024
+GONE = (errno.ECONNRESET, errno.EPIPE, errno.ETIMEDOUT, errno.EBADF, errno.ENOTCONN, errno.ECONNABORTED)
+
+
+class Ended(Exception):
+    """The connection has ended; `how` says in which way."""
+
+    def __init__(self, how: How, why: str = "") -> None:
+        super().__init__(why or how.name.lower())
+        self.how = how
+
+
+class Inbox:
+    """What a peer sends. Heads stay in one buffer and are parsed there; bodies are received in place."""
+
+    def __init__(self, sock: socket.socket) -> None:
+        self._sock = sock
+        self._buffer = bytearray(FIRST_BUFFER)
+        self._start = self._end = 0
+        self.received = 0
+
+    def buffered(self) -> int:
+        return self._end - self._start
+
+    async def _recv(self, into: memoryview) -> int:
+        while True:
+            try:
+                got = self._sock.recv_into(into)
+            except (BlockingIOError, InterruptedError):
+                try:
+                    await anyio.wait_readable(self._sock)
+                except (OSError, ValueError, anyio.ClosedResourceError):
+                    raise Ended(How.CUT) from None
+                continue
+            except OSError as fault:
+                raise Ended(How.CUT, str(fault)) from None
+            if not got:
+                raise Ended(How.CLOSED)
+            self.received += got
+            return got
+
+    async def _more(self, most: int) -> None:
+        """Reads on, making room first: the unread part moves to the front or the buffer grows."""
+        if self._start == self._end:
+            self._start = self._end = 0
+        if self._end == len(self._buffer):
+            if self._start:
+                unread = self._buffer[self._start : self._end]
+                self._buffer[: len(unread)] = unread
+                self._start, self._end = 0, len(unread)
+            elif len(self._buffer) >= most:
+                raise Ended(How.GARBLED, f"a head of over {most} bytes")
+            else:
+                self._buffer.extend(bytes(len(self._buffer)))
+        with memoryview(self._buffer) as view:
+            self._end += await self._recv(view[self._end :])
+
+    async def line(self, most: int) -> bytes:
+        """The next line without its CR LF."""
+        seen = 0
+        while True:
+            at = self._buffer.find(b"\r\n", self._start + seen, self._end)
+            if at >= 0:
+                found = bytes(memoryview(self._buffer)[self._start : at])
+                self._start = at + 2
+                return found
+            seen = max(0, self.buffered() - 1)
+            if seen >= most:
+                raise Ended(How.GARBLED, f"a line of over {most} bytes")
+            await self._more(2 * most)
+
+    async def exactly(self, size: int) -> bytearray:
+        """The next `size` bytes; what is not here yet is received straight into its place."""
+        body = bytearray(size)
+        with memoryview(body) as view:
+            have = min(size, self.buffered())
+            view[:have] = memoryview(self._buffer)[self._start : self._start + have]
+            self._start += have
+            while have < size:
+                have += await self._recv(view[have:])
+        return body
+
+
+class Entry:
+    """One message on its way out: its parts, and what to ask when its first byte is about to go."""
+
+    __slots__ = ("begun", "done", "may_go", "parts", "refused")
+
+    def __init__(self, parts: Sequence[Part], may_go: Callable[[], bool] | None) -> None:
+        self.parts = [memoryview(p) for p in parts if len(p)]
+        self.may_go = may_go
+        self.begun = self.refused = False
+        self.done: Callable[[], None] | None = None
+
+
+class Outbox:
+    """Messages to one peer, in order. One that has begun is written whole or the connection ends."""
+
+    def __init__(self, sock: socket.socket) -> None:
+        self._sock = sock
+        self._queue: deque[Entry] = deque()
+        self._news = anyio.Event()
+        self.ended: Ended | None = None
+        self.size = 0
+
+    def put(
+        self,
+        parts: Sequence[Part],
+        may_go: Callable[[], bool] | None = None,
+        done: Callable[[], None] | None = None,
+    ) -> Entry:
+        """Writes what the socket takes at once; `run` writes the rest. `done` is called at the last byte."""
+        entry = Entry(parts, may_go)
+        entry.done = done
+        self._queue.append(entry)
+        self.size += sum(map(len, entry.parts))
+        if len(self._queue) == 1:
+            self._flush()
+        if self._queue:
+            self._news.set()
+        return entry
+
+    def drop(self, entry: Entry) -> bool:
+        """Takes back a message of which no byte was written; False if one was."""
+        if entry.begun:
+            return False
+        if entry in self._queue:
+            self._queue.remove(entry)
+            self.size -= sum(map(len, entry.parts))
+        return True
+
+    def _flush(self) -> None:
+        while self._queue and not self.ended:
+            parts: list[memoryview] = []
+            for entry in list(self._queue):
+                if not entry.begun and entry.may_go and not entry.may_go():
+                    entry.refused = True  # told otherwise since it was queued
+                    self.drop(entry)
+                    if entry.done:
+                        entry.done()
+                    continue
+                if parts and len(parts) + len(entry.parts) > MOST_PARTS:
+                    break
+                parts.extend(entry.parts)
+            if not parts:
+                continue
+            try:
+                sent = self._sock.sendmsg(parts)
+            except (BlockingIOError, InterruptedError):
+                return
+            except OSError as fault:
+                self.ended = Ended(How.CUT, str(fault))
+                return
+            self._sent(sent)
+
+    def _sent(self, sent: int) -> None:
+        self.size -= sent
+        while self._queue:
+            entry = self._queue[0]
+            while entry.parts and sent:
+                entry.begun = True
+                step = min(sent, len(entry.parts[0]))
+                sent -= step
+                if step == len(entry.parts[0]):
+                    del entry.parts[0]
+                else:
+                    entry.parts[0] = entry.parts[0][step:]
+            if entry.parts:
+                return
+            self._queue.popleft()
+            if entry.done:
+                entry.done()
+
+    async def run(self, patience: float) -> None:
+        """Writes what `put` could not; ends with Ended when the peer reads nothing for too long."""
+        while True:
+            if self.ended:
+                raise self.ended
+            if not self._queue:
+                self._news = anyio.Event()
+                await self._news.wait()
+                continue
+            with anyio.move_on_after(patience) as waiting:
+                try:
+                    await anyio.wait_writable(self._sock)
+                except (OSError, ValueError, anyio.ClosedResourceError):
+                    raise Ended(How.CUT) from None
+            if waiting.cancelled_caught:
+                raise Ended(How.STALLED, "the peer does not read")
+            self._flush()
+
+
+async def connect(host: str, port: int) -> socket.socket:
+    """A connection, or OSError; cancelling it closes the socket."""
+    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    try:
+        sock.setblocking(False)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        try:
+            sock.connect((host, port))
+        except BlockingIOError:
+            await anyio.wait_writable(sock)
+            fault = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+            if fault:
+                raise OSError(fault, "connect") from None
+    except BaseException:
+        sock.close()
+        raise
+    return sock
--- a/milletstair/wire.py
+++ b/zincladder/wire.py
@@ -6,13 +6,13 @@
 
 from __future__ import annotations
 
-import json
 import struct
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 from typing import Any, BinaryIO
 
-from milletstair import interface as api
+from zincladder import interface as api
+from zincladder.config import ConfigError, settings_from
 
 BATCH_HEADER = struct.Struct("<II")
 BATCH_BODY = struct.Struct("<dI")
@@ -151,7 +151,10 @@
         instance, seed = r.num("I"), r.num("Q")
         text = r.take(r.num("I"))
         r.end()
-        return Born(instance, seed, settings_from(text))
+        try:
+            return Born(instance, seed, settings_from(text))
+        except ConfigError as fault:
+            raise WireError(f"settings cannot be read: {fault}") from fault
     if code == HALT:
         r = _Reader(fields, "halt")
         instance = r.num("I")
@@ -269,97 +272,3 @@
 def encode_reply(number: int, records: bytes) -> bytes:
     """The reply frame to one batch."""
     return BATCH_HEADER.pack(number, len(records)) + records
-
-
-# Settings -----------------------------------------------------------------------------------------
-
-_EFFECTS = {
-    "idempotent": api.Effect.SAFE,
-    "deduplicated": api.Effect.KEYED,
-    "at_most_once": api.Effect.UNSAFE,
-}
-
-
-_REPORTS = {"rif": "held", "q": "queued", "x0": "hits", "x1": "link"}
-
-
-def _classes(conf: dict[str, Any], domain: dict[str, Any]) -> tuple[api.RequestClass, ...]:
-    def of(name: str, i: int, absent: Any) -> Any:
-        values = domain.get(name, ())
-        return values[i] if i < len(values) else absent
-
-    return tuple(
-        api.RequestClass(
-            aim=c["onTime"],
-            deadline=c["deadline"],
-            effect=_EFFECTS[c["effect"]],
-            aim_stretch=c.get("aimStretch", 0.0),
-            worth=c.get("value", 1.0),
-            late_worth=c.get("lateWorth", 0.0),
-            scope=api.Scope(c.get("keyScope") or "all"),
-            window=c.get("window", 0.0),
-            streamed=c.get("stream", False),
-            fresh_for=of("freshFor", i, 0.0),
-            usable_after=of("usableAfter", i, 0.0),
-            stale_worth=of("classStaleWorth", i, 0.0),
-            never_kept=of("neverKept", i, False),
-            in_parts=of("inPieces", i, False),
-        )
-        for i, c in enumerate(conf["categories"])
-    )
-
-
-def settings_from(text: bytes) -> api.Settings:
-    """The settings in the start message; unknown keys are skipped."""
-    try:
-        conf = json.loads(text)
-        domain, limits, rules = conf.get("domain", {}), conf.get("ceilings", {}), conf.get("invariants", {})
-        fall_after = rules.get("overloadFor", 1.0)
-        return api.Settings(
-            classes=_classes(conf, domain),
-            zone=conf.get("az", 0),
-            routers_by_zone=tuple(domain.get("seatsByZone", ())),
-            routers=conf.get("replicasOfMe", 1),
-            instance=conf.get("me", 0),
-            parent_kind=domain.get("midKind", -1),
-            origin_kind=domain.get("originKind", -1),
-            hub_of_zone=tuple(domain.get("attachedTo", ())),
-            link_kb_per_s=tuple(domain.get("pipeKbPerS", ())),
-            client_kb_per_s=domain.get("clientKbPerS", 0.0),
-            cold_cache=api.ColdRule(
-                rules.get("coldFrom", 1.0),
-                rules.get("warmUp", 0.0),
-                rules.get("fallMultiple", 0.0),
-                fall_after,
-            ),
-            cold_parent=api.ColdRule(
-                domain.get("parentStartsAt", 1.0),
-                domain.get("parentRamp", 0.0),
-                domain.get("upperFallMultiple", 0.0),
-                fall_after,
-            ),
-            drain_grace=rules.get("drainGrace", 0.0),
-            answer_slack=rules.get("answerSlack", 0.0),
-            purge_grace=domain.get("noticeTime", 0.0),
-            purge_done=domain.get("goneEverywhere", 0.0),
-            max_attempts=limits.get("attemptsCap", 1),
-            connect_timeout=limits.get("connectTimeout", 0.0),
-            may_cancel=limits.get("mayCancel", False),
-            second_copies=limits.get("secondCopies", False),
-            probes=limits.get("probes", False),
-            retry_after=limits.get("retryAfter", False),
-            max_retry_after=limits.get("maxRetryAfter", 0.0),
-            bypass=domain.get("mayPassBy", False),
-            joins_fills=domain.get("mergesFills", False),
-            peer_fill=api.PeerFill(domain.get("peersFill", "off")),
-            origin_stops_at=domain.get("originStopsAt", 0.0),
-            origin_stops_after=domain.get("rootFall", 0.0),
-            weights_listed=conf.get("weightSource", "off") in ("nominal", "rough"),
-            must_subscribe=conf.get("registryMode", "automatic") == "subscribe",
-            subscribe_within=rules.get("mustAskIn", 0.0),
-            report_names=tuple(_REPORTS.get(n, n) for n in conf.get("report", {}).get("names", ())),
-            load_by_probe=conf.get("report", {}).get("how", "off") == "on_probe",
-            clients_mark_retries=conf.get("clients", {}).get("marksRetry", False),
-        )
-    except (ValueError, KeyError, TypeError, AttributeError, IndexError) as fault:
-        raise WireError(f"settings cannot be read: {type(fault).__name__}: {fault}") from fault
