Answer DNS queries from the same core and Router as the platform's front

zincladder/dns: UDP and TCP, EDNS0, truncation; one address with TTL 0, SRV for the port, SERVFAIL at once when the module gives up. An attempt that DNS steered is ended as never sent by this front, so that the Router learns nothing that nobody saw.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -5,6 +5,8 @@
 from collections.abc import Iterable
 from typing import Any
 
+import pytest
+
 from zincladder import interface as api
 from zincladder.decide import Router
 
@@ -57,6 +59,11 @@
 FLEET = (*(cache(n) for n in range(4)), *(parent(n) for n in range(3)), ORIGIN_MEMBER)
 
 
+@pytest.fixture
+def anyio_backend() -> str:
+    return "asyncio"
+
+
 class Driver:
     """A router, its clock and shorthand for the events."""
 
--- a/zincladder/__main__.py
+++ b/zincladder/__main__.py
@@ -5,9 +5,11 @@
 import logging
 import signal
 import sys
+from dataclasses import dataclass
 
 import anyio
 import structlog
+from anyio.abc import TaskStatus
 
 from zincladder import config as configuration
 from zincladder import interface as api
@@ -40,13 +42,26 @@
             await clients.stop()
 
 
-async def front(config: configuration.Config) -> None:
+@dataclass(frozen=True, slots=True)
+class Listening:
+    """Where a front that is ready listens; a port of 0 in the configuration is the system's choice."""
+
+    clients: tuple[str, int]
+    dns: tuple[str, int] | None
+
+
+async def front(
+    config: configuration.Config,
+    operator: configuration.Operator,
+    task_status: TaskStatus[Listening] = anyio.TASK_STATUS_IGNORED,
+) -> None:
     """Runs all parts until the client side has ended."""
     clock = Clock()
     caches = Caches(config, clock.now)
     core = Core(config.settings, config.seed, caches, clock)
     last, events = known_news(config)
     clients = Clients(config, core)
+    where_dns = None
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(stop_on_signal, clients)
         tasks.start_soon(caches.run)
@@ -55,9 +70,16 @@
         tasks.start_soon(core.run)
         if config.coordinator:
             tasks.start_soon(Feed(config.coordinator, last, lambda news: tell(core, caches, news)).run)
-        log.info(
-            "ready", name=config.name, listen="{}:{}".format(*clients.address), members=len(core.members)
-        )
+        if operator.dns:
+            # Imported here: a front without it starts sooner after a restart.
+            from zincladder.dns.answers import Answers
+            from zincladder.dns.server import DnsServer
+
+            server = DnsServer(operator.dns.listen, Answers(operator.dns, core, caches.where), clock)
+            where_dns = server.address
+            tasks.start_soon(server.run)
+        log.info("ready", name=config.name, listen=clients.address, dns=where_dns, members=len(core.members))
+        task_status.started(Listening(clients.address, where_dns))
         await clients.run()
         tasks.cancel_scope.cancel()
     log.info("ended", answers={k[1]: n for k, n in core.counts.items() if k[0] == "answers"})
@@ -77,11 +99,12 @@
     )
     try:
         config = configuration.load()
+        operator = configuration.load_operator(config.names)
         known_news(config)
     except configuration.ConfigError as fault:
         log.error("bad configuration", why=str(fault))
         return 2
-    anyio.run(front, config)
+    anyio.run(front, config, operator)
     return 0
 
 
--- a/zincladder/config.py
+++ b/zincladder/config.py
@@ -8,10 +8,12 @@
 
 import json
 import os
+import tomllib
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Any, TypeVar
+from urllib.parse import urlsplit
 
 from zincladder import interface as api
 
@@ -243,6 +245,103 @@
     known: dict[str, Any]
 
 
+@dataclass(frozen=True, slots=True)
+class Host:
+    """A host name of the DNS front and what it stands for."""
+
+    name: str
+    klass: int
+    object: int
+    group: int
+
+
+@dataclass(frozen=True, slots=True)
+class DnsConfig:
+    """The DNS front."""
+
+    listen: Address
+    zone: str
+    deadline: float
+    hosts: tuple[Host, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class RemoteWriteConfig:
+    """Where samples are pushed to, and how many may wait."""
+
+    host: str
+    port: int
+    path: str
+    every: float
+    queue: int
+
+
+@dataclass(frozen=True, slots=True)
+class Operator:
+    """The operator's file: all that is off without it."""
+
+    dns: DnsConfig | None = None
+    metrics: Address | None = None
+    remote_write: RemoteWriteConfig | None = None
+
+
+def operator_of(data: Any, names: Names) -> Operator:
+    """The operator's configuration from its parsed TOML."""
+    top = Node(data, "")
+    listen = "an address like 127.0.0.1:9090"
+    metrics = top.sub("metrics").get("listen", address, listen, None) if "metrics" in top.data else None
+    return Operator(
+        _dns(top.sub("dns"), names) if "dns" in top.data else None,
+        metrics,
+        _remote_write(top.sub("remote_write")) if "remote_write" in top.data else None,
+    )
+
+
+def _dns(dns: Node, names: Names) -> DnsConfig:
+    zone = dns.text("zone").rstrip(".").lower()
+    classes = {name: i for i, name in enumerate(names.classes)}
+    hosts = []
+    for i, raw in enumerate(dns.get("host", _list, "a list of tables", None)):
+        host = Node(raw, f"dns.host[{i}]")
+        name = host.text("name").rstrip(".").lower()
+        if not name.endswith("." + zone):
+            raise ConfigError(f"'{host.at('name')}' must end in '.{zone}', not be {name!r}")
+        hosts.append(
+            Host(
+                name,
+                host.choice("class", classes),
+                host.get("object", lambda v: int(_text(v), 16), "hex digits", 0),
+                host.whole("group", 0),
+            )
+        )
+    deadline = dns.num("deadline_ms", 250.0) / 1000
+    if deadline <= 0:
+        raise ConfigError(f"'{dns.at('deadline_ms')}' must be more than 0")
+    listen = dns.get("listen", address, "an address like 127.0.0.1:5353", None)
+    return DnsConfig(listen, zone, deadline, tuple(hosts))
+
+
+def _remote_write(node: Node) -> RemoteWriteConfig:
+    url = urlsplit(node.text("url"))
+    if url.scheme != "http" or not url.hostname:
+        raise ConfigError(f"'{node.at('url')}' must be like http://127.0.0.1:9090/api/v1/write")
+    every, queue = node.num("every_s", 15.0), node.whole("queue", 64)
+    if every <= 0 or queue < 1:
+        raise ConfigError(f"'{node.at('every_s')}' must be more than 0 and '{node.at('queue')}' at least 1")
+    return RemoteWriteConfig(url.hostname, url.port or 80, url.path or "/", every, queue)
+
+
+def load_operator(names: Names, environ: Mapping[str, str] = os.environ) -> Operator:
+    """Reads the file named by ZINCLADDER_OPERATOR; without it all that it sets up is off."""
+    path = environ.get("ZINCLADDER_OPERATOR")
+    if not path:
+        return Operator()
+    try:
+        return operator_of(tomllib.loads(Path(path).read_text()), names)
+    except (OSError, ValueError) as fault:
+        raise ConfigError(f"'ZINCLADDER_OPERATOR' cannot be read: {fault}") from None
+
+
 def config_of(data: Any) -> Config:
     """The daemon's configuration from its JSON."""
     top = Node(data, "")
--- /dev/null
+++ b/zincladder/dns/server.py
@@ -0,0 +1,119 @@
+"""The DNS front's sockets: UDP and TCP on one address."""
+
+from __future__ import annotations
+
+import socket
+
+import anyio
+import structlog
+
+from zincladder.config import Address
+from zincladder.core.ends import How
+from zincladder.core.engine import Clock
+from zincladder.dns.answers import MOST_SIZE, Answers
+from zincladder.net.stream import Ended, Inbox, Outbox
+
+IDLE = 5.0  # of a TCP connection between queries, and for the rest of one
+MOST_TCP = 64  # connections; one more is closed at once, UDP goes on
+BURST = 64  # datagrams taken in a row before the other tasks have their turn
+log = structlog.get_logger()
+
+
+class DnsServer:
+    """Serves queries until it is cancelled."""
+
+    def __init__(self, listen: Address, answers: Answers, clock: Clock) -> None:
+        self._answers, self._clock = answers, clock
+        self._udp = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self._tcp = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        self._tcp.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            self._tcp.bind(listen)
+            self.address: Address = self._tcp.getsockname()
+            self._udp.bind(self.address)
+            self._tcp.listen(MOST_TCP)
+        except OSError:
+            self.close()
+            raise
+        for sock in (self._udp, self._tcp):
+            sock.setblocking(False)
+        self._open = 0
+
+    def close(self) -> None:
+        self._udp.close()
+        self._tcp.close()
+
+    async def run(self) -> None:
+        try:
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self._datagrams)
+                while True:
+                    try:
+                        sock, _ = self._tcp.accept()
+                    except (BlockingIOError, InterruptedError):
+                        await anyio.wait_readable(self._tcp)
+                        continue
+                    except OSError as fault:
+                        log.warning("dns accept failed", why=str(fault))
+                        await anyio.sleep(0.01)
+                        continue
+                    if self._open >= MOST_TCP:
+                        sock.close()
+                    else:
+                        self._open += 1
+                        tasks.start_soon(self._connection, sock)
+        finally:
+            self.close()
+
+    async def _datagrams(self) -> None:
+        while True:
+            await anyio.wait_readable(self._udp)
+            for _ in range(BURST):
+                try:
+                    data, peer = self._udp.recvfrom(4096)
+                except (BlockingIOError, InterruptedError):
+                    break
+                except OSError:  # what an earlier answer met at a peer that is gone
+                    continue
+                response = self._respond(data, MOST_SIZE)
+                if response is not None:
+                    try:
+                        self._udp.sendto(response, peer)
+                    except OSError as fault:  # as good as lost on the way: the resolver asks again
+                        log.info("dns answer not sent", why=str(fault))
+
+    def _respond(self, data: bytes, most: int | None) -> bytes | None:
+        try:
+            return self._answers.respond(data, self._clock.now(), most)
+        except Exception:
+            log.exception("dns query failed")  # one query must not end the front
+            return None
+
+    async def _connection(self, sock: socket.socket) -> None:
+        try:
+            sock.setblocking(False)
+            inbox, outbox = Inbox(sock), Outbox(sock)
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self._write, outbox, tasks)
+                try:
+                    while True:
+                        with anyio.fail_after(IDLE):
+                            size = int.from_bytes(await inbox.exactly(2), "big")
+                            data = bytes(await inbox.exactly(size))
+                        response = self._respond(data, None)
+                        if response is None:
+                            raise Ended(How.GARBLED, "a message that cannot be answered")
+                        outbox.put([len(response).to_bytes(2, "big"), response])
+                except (Ended, TimeoutError) as end:
+                    if isinstance(end, Ended) and end.how is How.GARBLED:
+                        log.info("dns connection ended", why=str(end))
+                tasks.cancel_scope.cancel()
+        finally:
+            self._open -= 1
+            sock.close()
+
+    async def _write(self, outbox: Outbox, tasks: anyio.abc.TaskGroup) -> None:
+        try:
+            await outbox.run(IDLE)
+        except Ended:
+            tasks.cancel_scope.cancel()
--- a/zincladder/net/caches.py
+++ b/zincladder/net/caches.py
@@ -181,6 +181,9 @@
         """Where a member listens. An id is one process, so an address used again is another member's."""
         self._addresses[member] = address
 
+    def where(self, member: api.MemberId) -> Address | None:
+        return self._addresses.get(member)
+
     def forget(self, member: api.MemberId) -> None:
         """A member that is gone: what is open on it may still end by itself."""
         self.close_idle(member)
