Judge sending times and cores by what is seen where the site does not tell them

Cause: the site tells neither sizes nor weights, so in decide.py _arrived made every sending time 0 (no debt in _room, nothing late in _late) and _crowd answered 0: no guard acted. Now: sending times from hits (_time), cores from inflight over util of warm caches (_weight), spilling by those; a fill's pace refuses only where the size is told. A refusal now always names a time to come back, the class's aim at most.

--- a/zincladder/decide.py
+++ b/zincladder/decide.py
@@ -20,6 +20,11 @@
 UNEVEN = 1.5  # and only past so many times its neighbours' mean: slow fills crowd all caches alike
 PROMPT = 1.0  # of a class's base aim that a strain may add to a request's sending; past it, it is refused
 LINK_FULL = 2.5  # transfers on the location's link over those at full pace; fills then crawl past the aim
+PARENT_PART = (
+    0.2  # a parent's link, of the pooled links of the caches that it stands behind: the least likely
+)
+CORES_AT = (0.25, 0.8)  # how busy a cache must be for its report to tell its cores
+CORES_STEPS = (0.02, 0.1)  # weight of a report that tells of more cores, and of fewer: rather too few
 TRIES = 4  # attempts of one request: enough for a few dead members, too few to feed an overload
 KEEP = 1  # the one rank of all kept copies: with a single rank every cache is a plain LRU
 COLD_SHARE = 0.5  # of what pushes a cold member over: half is left to routers that are not told yet
@@ -88,6 +93,8 @@
     work: float
     sent_at: float
     checked_at: float
+    klass: int
+    told: bool  # the request's size was
 
 
 @dataclass(slots=True)
@@ -121,8 +128,12 @@
         self.timers: dict[int, tuple[int, int]] = {}
         self.tokens = 0
         self.purges: dict[tuple[int | None, int], float] = {}
+        # Sending times by class. Where sizes are not told, the base aim stands until hits have been timed.
         self.mean_work = [0.0] * len(settings.classes)
+        self.timed = [0] * len(settings.classes)
         self.out_there, self.weight_there = 0, 1.0  # attempts out at the location's caches; their weights
+        self.cores = 1.0  # transfers that one cache sends at full pace: judged where weights are not listed
+        self.cores_told = False
         self.link = 0.0  # how full the location's link is, as last reported
         self.zone_routers = max(1, *settings.routers_by_zone[settings.zone : settings.zone + 1], 1)
         self.out: list[api.Action] = []
@@ -204,13 +215,25 @@
         if m.started_at <= 0 or age >= rule.warm_after or m.kind == s.origin_kind:
             return True
         part = rule.starts_at + (1 - rule.starts_at) * max(0.0, age) / rule.warm_after
-        pace = COLD_SHARE * rule.fall_multiple * part * m.weight
+        pace = COLD_SHARE * rule.fall_multiple * part * self._weight(m)
         if seen.debt is None:
             seen.debt, seen.debt_at = self.random.random() * max(self.mean_work), now
         seen.debt = max(0.0, seen.debt - (now - seen.debt_at) * pace / sharers)
         seen.debt_at = now
         return seen.debt <= 0 and work <= COLD_SHARE * pace * rule.fall_after  # more is a risk by itself
 
+    def _weight(self, member: api.Member) -> float:
+        """The transfers that a member's link fits, as listed or judged from what warm caches report."""
+        s = self.settings
+        if s.weights_listed:
+            return member.weight
+        if member.kind != s.parent_kind:
+            return self.cores
+        places = sum(n > 0 for n in s.routers_by_zone)
+        return max(
+            1.0, PARENT_PART * self.cores * len(self.caches.ids) * places / max(1, len(self.parents.ids))
+        )
+
     def _pick(self, ring: Ring, job: Job, work: float, now: float) -> Seen | None:
         """The first member on the object's walk that may be asked; a trial is taken where one is due.
 
@@ -254,13 +277,15 @@
 
         Its own attempts times the routers would move objects by chance wherever each sees little.
         """
-        if not self.settings.weights_listed or seen.member.id not in self.caches.ids:
+        if seen.member.id not in self.caches.ids or not (self.settings.weights_listed or self.cores_told):
             return 0.0
-        own = seen.out / max(seen.member.weight, 1.0)
+        own = seen.out / max(self._weight(seen.member), 1.0)
         return own + self._mean_crowd() * (self.zone_routers - 1) / self.zone_routers
 
     def _mean_crowd(self) -> float:
-        return self.out_there * self.zone_routers / self.weight_there
+        judged = self.cores * max(1, len(self.caches.ids))
+        there = self.weight_there if self.settings.weights_listed else judged
+        return self.out_there * self.zone_routers / there
 
     def _count(self, seen: Seen, change: int) -> None:
         seen.out += change
@@ -285,9 +310,12 @@
 
     def _arrived(self, request: api.Request, now: float) -> None:
         klass, pace = self.settings.classes[request.klass], self.settings.client_kb_per_s
-        work = request.size_kb / pace if pace > 0 else 0.0
         mean = self.mean_work[request.klass]
-        self.mean_work[request.klass] = mean + (work - mean) * RECENT if mean else work
+        if request.size_kb > 0 and pace > 0:
+            work = request.size_kb / pace
+            self.mean_work[request.klass] = mean + (work - mean) * RECENT if mean else work
+        else:
+            work = self.mean_work[request.klass] = mean or klass.aim
         name = request.object.to_bytes(8, "big")
         home = point(name + request.part.to_bytes(4, "big")) if request.part else point(name)
         self.jobs[request.id] = Job(request, klass, work, home, point(name))
@@ -301,7 +329,8 @@
         origin = self.seen.get(self.origin) if self.origin else None
         cache = self._pick(self.caches, job, self.mean_work[request.klass], now)
         source = origin if job.klass.never_kept else self._pick(self.parents, job, job.work, now) or origin
-        late = self._late(job, max(self.link / LINK_FULL, source.slow if source else 0.0))
+        told = request.size_kb > 0  # else a fill's pace tells of its size, not of the source
+        late = self._late(job, max(self.link / LINK_FULL, source.slow if source and told else 0.0))
         if job.klass.never_kept:
             cache = origin if s.bypass else cache
         elif cache and job.stale:
@@ -328,7 +357,9 @@
     def _send(self, job: Job, target: Seen, source: Seen, now: float) -> None:
         s, request, member = self.settings, job.request, target.member
         job.out.add(job.sends)
-        self.attempts[request.id, job.sends] = Attempt(member.id, source.member.id, job.work, now, now)
+        self.attempts[request.id, job.sends] = Attempt(
+            member.id, source.member.id, job.work, now, now, request.klass, request.size_kb > 0
+        )
         self._count(target, 1)
         for seen in (target,) if target is source else (target, source):
             weight = job.work if seen.member.kind == s.parent_kind else self.mean_work[request.klass]
@@ -356,7 +387,7 @@
         klass, s = job.klass, self.settings
         dropped = klass.effect is api.Effect.KEYED and klass.scope is api.Scope.ALL
         harmless = klass.effect is api.Effect.SAFE or dropped or not job.may_have_run
-        refusal = api.Refuse(job.request.id, s.max_retry_after if s.retry_after else 0.0)
+        refusal = api.Refuse(job.request.id, min(s.max_retry_after, klass.aim))  # a strain is over by then
         self.out.append(refusal if harmless else api.Fail(job.request.id))
         self._over(job.request.id)
 
@@ -394,8 +425,14 @@
 
     def _report(self, member: api.MemberId, report: tuple[float, ...]) -> None:
         names = self.settings.report_names
-        if len(report) == len(names) and "link" in names and member in self.caches.ids:
-            self.link = report[names.index("link")]
+        if len(report) != len(names) or member not in self.caches.ids:
+            return
+        told = dict(zip(names, report, strict=True))
+        self.link = told.get("link", self.link)
+        if CORES_AT[0] <= told.get("busy", 0.0) <= CORES_AT[1] and "held" in told:
+            cores, self.cores_told = told["held"] / told["busy"], True
+            self.cores += CORES_STEPS[cores < self.cores] * (cores - self.cores)
+            self.cores = max(1.0, self.cores)
 
     def _judge(self, event: api.AttemptEnded, attempt: Attempt, now: float) -> None:
         """Files an outcome under the member it tells of: the fill's source, or the cache asked."""
@@ -410,16 +447,30 @@
         if event.note in BLAMES_SOURCE:
             self._mark(cache, False, now)
             return self._mark(source if event.note in SOURCE_FAULTS else None, True, now)
+        if event.result is api.Result.OK and event.note is api.Note.HIT:
+            self._time(attempt, event.latency)
         direct = event.result is api.Result.OK and attempt.cache in self.parents.ids
         server = cache if direct else source
         if server and (direct or event.note in (api.Note.FILLED, api.Note.FILLED_VIA_ORIGIN)):
             pace = (event.latency - event.fill_wait) / max(attempt.work, YOUNGEST)
-            server.slow += MEMORY * (pace - server.slow)
+            server.slow += (MEMORY if attempt.told else RECENT) * (
+                pace - server.slow
+            )  # untold: sizes are noise
             self._mark(server, False, now)
         if event.result is api.Result.TIMED_OUT and cache and cache.heard_at > attempt.sent_at:
             return  # slow, not silent
         self._mark(cache, event.result not in (api.Result.OK, api.Result.MISS), now)
 
+    def _time(self, attempt: Attempt, latency: float) -> None:
+        """Guards the guards: with sizes untold, all sending times were 0 and no link or cold member spared.
+
+        A hit takes its sending time and little else, as long as its cache is not crowded.
+        """
+        if not attempt.told:
+            self.timed[attempt.klass] += 1
+            share = max(RECENT, 1 / self.timed[attempt.klass])
+            self.mean_work[attempt.klass] += (latency - self.mean_work[attempt.klass]) * share
+
     def _mark(self, seen: Seen | None, failed: bool, now: float) -> None:
         """Guards against members that do not answer, whatever the cause: silence, errors or refusals."""
         if seen is None:
