--- a/tests/stands.py
+++ b/tests/stands.py
@@ -34,10 +34,12 @@
     fields: dict[str, str]
     body: bytes
     stream: anyio.abc.ByteStream
+    turn: anyio.Lock
 
     async def answer(self, word: int, fields: str = "-", body: bytes = b"") -> None:
         end = b"\r\n" if body else b""
-        await self.stream.send(f"{self.name} {word} {fields} {len(body)}\r\n".encode() + body + end)
+        async with self.turn:
+            await self.stream.send(f"{self.name} {word} {fields} {len(body)}\r\n".encode() + body + end)
 
 
 async def serve(_: StubCache, fetch: Fetch) -> None:
@@ -78,7 +80,7 @@
 
     async def _connection(self, stream: anyio.abc.ByteStream) -> None:
         self.connections += 1
-        data = b""
+        data, turn = b"", anyio.Lock()
         try:
             async with stream, anyio.create_task_group() as tasks:
                 while True:
@@ -87,7 +89,10 @@
                     head, _, data = data.partition(b"\r\n")
                     words = head.decode().split(" ")
                     if words[0] == "stats":
-                        await stream.send(f"{words[1]} alive meter=util:0.5;inflight:1;x1:0.5 0\r\n".encode())
+                        async with turn:
+                            await stream.send(
+                                f"{words[1]} alive meter=util:0.5;inflight:1;x1:0.5 0\r\n".encode()
+                            )
                     elif words[0] == "abort":
                         self.aborts.append(words[1])
                     else:
@@ -96,7 +101,7 @@
                             data += await stream.receive()
                         body, data = data[: int(words[3])], data[int(words[3]) + 2 :]
                         fields = dict(pair.split("=") for pair in words[2].split(","))
-                        self.fetches.append(Fetch(words[1], fields, body, stream))
+                        self.fetches.append(Fetch(words[1], fields, body, stream, turn))
                         tasks.start_soon(self.script, self, self.fetches[-1])
                     came, self.came = self.came, anyio.Event()
                     came.set()
@@ -113,6 +118,7 @@
     after: list[int] = field(default_factory=list)
     streams: list[anyio.abc.ByteStream] = field(default_factory=list)
     followed: anyio.Event = field(default_factory=anyio.Event)
+    turn: anyio.Lock = field(default_factory=anyio.Lock)
 
     async def run(self, *, task_status: anyio.abc.TaskStatus[None]) -> None:
         listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
@@ -133,14 +139,16 @@
         followed.set()
         with contextlib.suppress(anyio.BrokenResourceError, anyio.ClosedResourceError):
             while True:
-                await stream.send(_frame(0, 0, b""))
+                async with self.turn:
+                    await stream.send(_frame(0, 0, b""))
                 await anyio.sleep(0.3)
 
     async def tell(self, kind: int, payload: bytes) -> None:
         number = (self.events[-1][0] if self.events else 1) + 1
         self.events.append((number, kind, payload))
-        for stream in self.streams:
-            await stream.send(_frame(number, kind, payload))
+        async with self.turn:
+            for stream in self.streams:
+                await stream.send(_frame(number, kind, payload))
 
 
 def _frame(number: int, kind: int, payload: bytes) -> bytes:
@@ -253,7 +261,7 @@
         await self.stream.send(struct.pack(">i", len(frame)) + frame)
         return self.seq
 
-    async def ask(self, body: bytes = b"", **fields: str) -> int:
+    async def ask(self, body: bytes = b"", /, **fields: str) -> int:
         said = {"route": "page", "trace": f"{self.seq + 1:016x}", "patience": "2000", "entity": KEY,
                 "slice": "0", "set": "17"} | fields  # fmt: skip
         args = b"\x0d\0\1" + thrift._texts(said) + b"\x0b\0\2" + struct.pack(">i", len(body)) + body
--- /dev/null
+++ b/tests/test_front.py
@@ -0,0 +1,321 @@
+"""The platform's front over loopback sockets: one story for each failure it guards against."""
+
+from __future__ import annotations
+
+import json
+import os
+import signal
+import struct
+import subprocess
+import sys
+import time
+from pathlib import Path
+
+import anyio
+import pytest
+
+from tests.stands import KEY, Client, Fetch, Script, StubCache, client, configuration, serve, world
+from zincladder.net import thrift
+
+pytestmark = pytest.mark.anyio
+ITEM = KEY.encode()
+
+
+async def hold(_: StubCache, fetch: Fetch) -> None:
+    """A cache that takes requests and answers none."""
+
+
+async def cut(_: StubCache, fetch: Fetch) -> None:
+    await fetch.stream.aclose()
+
+
+async def in_pieces(_: StubCache, fetch: Fetch) -> None:
+    data = f"{fetch.name} 200 tell=local 6\r\nabcdef\r\n".encode()
+    for i in range(len(data)):
+        await fetch.stream.send(data[i : i + 1])
+
+
+def says(word: int, fields: str = "-", body: bytes = b"") -> Script:
+    async def script(_: StubCache, fetch: Fetch) -> None:
+        await fetch.answer(word, fields, body)
+
+    return script
+
+
+async def garble(_: StubCache, fetch: Fetch) -> None:
+    await fetch.stream.send(b"HTTP/1.1 200 OK\r\n\r\n")
+
+
+async def too_long(_: StubCache, fetch: Fetch) -> None:
+    await fetch.stream.send(f"{fetch.name} 200 - 99999999999\r\n".encode())
+
+
+@pytest.mark.parametrize(
+    ("script", "route", "kind", "runs"),
+    [
+        (serve, "page", "served", 1),
+        (in_pieces, "page", "served", 1),
+        (says(304, "rev=aa,since=1"), "page", "served", 1),
+        (says(404), "booking", "Throttled", 4),  # proved not to have run: tried again, then refused
+        (says(503), "booking", "Throttled", 4),
+        (says(504), "booking", "Throttled", 1),
+        (says(500), "booking", "Broken", 1),  # may have run: never again, and no promise
+        (cut, "booking", "Broken", 1),
+        (garble, "booking", "Broken", 1),
+        (too_long, "booking", "Broken", 1),
+        (hold, "booking", "Broken", 1),
+    ],
+)
+async def test_each_end_of_an_attempt_gives_one_answer(
+    script: Script, route: str, kind: str, runs: int
+) -> None:
+    async with world(script, script, origin=script) as w, client(w) as c:
+        seq = await c.ask(b"order" if route == "booking" else b"", route=route, patience="400", seen="aa")
+        reply = await c.reply()
+        assert (reply.seq, reply.kind) == (seq, kind)
+        fetches = [f for cache in w.caches for f in cache.fetches]
+        assert len(fetches) == runs and {f.name for f in fetches} == {"0000000000000001"}
+        if kind == "Throttled":
+            assert int(reply.fields["pause"]) > 0  # when to come back, told at once
+        if route == "booking":
+            assert {f.body for f in fetches} == {b"order"} and "store" not in fetches[0].fields
+        else:
+            sent = fetches[0].fields
+            assert (sent["cls"], sent["item"], sent["chunk"], sent["inm"]) == ("page", KEY, "0", "aa")
+            assert 0 < int(sent["limit"]) <= 400 and reply.good
+            assert reply.body == (b"" if reply.fields else b"abcdef" if script is in_pieces else ITEM)
+
+
+@pytest.mark.parametrize("script", [cut, garble, says(500)])
+async def test_a_read_is_tried_elsewhere_when_a_cache_fails(script: Script) -> None:
+    async with world(script, serve) as w, client(w) as c:
+        for n in range(8):
+            await c.ask(entity=f"{n:016x}")
+            reply = await c.reply()
+            assert reply.kind == "served" and reply.body == b"%016x" % n
+
+
+async def test_a_refused_connection_proves_that_nothing_ran() -> None:
+    async with world(serve) as w, client(w) as c:
+        record = w.caches[-1]
+        record.port = 1  # nobody listens there
+        await w.coordinator.tell(2, record.record(0))
+        with anyio.fail_after(5):
+            while w.coordinator.events and (await _booked(c)) != "Throttled":
+                pass
+
+
+async def _booked(c: Client) -> str:
+    await c.ask(b"x", route="booking", patience="500")
+    return (await c.reply()).kind
+
+
+async def test_answers_come_in_any_order_and_a_withdrawn_request_gets_none() -> None:
+    gates: dict[str, anyio.Event] = {}
+
+    async def gated(_: StubCache, fetch: Fetch) -> None:
+        await gates.setdefault(fetch.name, anyio.Event()).wait()
+        await fetch.answer(200, "tell=local", fetch.name.encode())
+
+    async with world(gated) as w, client(w) as c:
+        cache = w.caches[0]
+        for _ in range(4):
+            await c.ask(patience="5000")
+        while len(cache.fetches) < 4:
+            await cache.came.wait()
+        await c.withdraw(2)
+        while not cache.aborts:
+            await cache.came.wait()
+        assert cache.aborts == [f"{2:016x}"]
+        for n in (4, 2, 1):  # the second is answered all the same: it crosses the abort
+            gates.setdefault(f"{n:016x}", anyio.Event()).set()
+        assert [(await c.reply()).seq for _ in range(2)] in ([4, 1], [1, 4])
+        await c.withdraw(1)  # crosses its answer, which stands
+        gates.setdefault(f"{3:016x}", anyio.Event()).set()
+        assert (await c.reply()).body == f"{3:016x}".encode()
+
+
+async def test_a_client_that_leaves_takes_its_requests_with_it() -> None:
+    async with world(hold) as w:
+        async with client(w) as c:
+            await c.ask(patience="5000")
+            while not w.caches[0].fetches:
+                await w.caches[0].came.wait()
+        with anyio.fail_after(5):
+            while not w.caches[0].aborts:
+                await w.caches[0].came.wait()
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"GET / HTTP/1.1\r\n\r\n",
+        struct.pack(">i", -5),
+        struct.pack(">i", 0),
+        struct.pack(">i", 8) + bytes(8),
+        struct.pack(">i", 30)
+        + thrift._message(thrift.CALL, "handle", 1)
+        + b"\x0d\0\1\x0b\x0b\x7f\xff\xff\xff"
+        + b"\0\0\0",
+        struct.pack(">i", 21) + thrift._message(thrift.CALL, "handle", 1) + b"\x63\0\1",
+    ],
+)
+async def test_malformed_input_ends_its_connection_and_nothing_else(data: bytes) -> None:
+    async with world(serve) as w, client(w) as bystander, client(w) as c:
+        await c.stream.send(data)
+        with pytest.raises((anyio.EndOfStream, anyio.BrokenResourceError)), anyio.fail_after(5):
+            await c.stream.receive()
+        await bystander.ask()
+        assert (await bystander.reply()).kind == "served"
+
+
+@pytest.mark.parametrize(
+    "fields", [{"route": "tram"}, {"entity": "XYZ"}, {"trace": ""}, {"slice": "-1"}, {"patience": "soon"}]
+)
+async def test_fields_that_cannot_be_used_fail_their_request_only(fields: dict[str, str]) -> None:
+    async with world(serve) as w, client(w) as c:
+        await c.ask(b"", **fields)
+        assert (await c.reply()).kind == "application"
+        await c.send("dance", b"")
+        assert (await c.reply()).kind == "application"
+        await c.ask()
+        assert (await c.reply()).kind == "served"
+        await c.send("status", b"\x02\0\1\1")
+        assert (await c.reply()).good and not w.caches[0].aborts
+
+
+async def test_a_client_that_reads_nothing_does_not_hold_up_the_others() -> None:
+    async def large(_: StubCache, fetch: Fetch) -> None:
+        await fetch.answer(200, "tell=local", bytes(240_000))
+
+    async with world(large) as w, client(w) as slow, client(w) as quick:
+        for _ in range(32):
+            await slow.ask(patience="5000")
+        for _ in range(3):
+            await quick.ask()
+            assert len((await quick.reply()).body) == 240_000
+        assert {(await slow.reply()).seq for _ in range(32)} == set(range(1, 33))
+
+
+@pytest.mark.parametrize("as_source", [False, True])
+async def test_a_cache_told_to_drain_before_the_send_gets_nothing_new(as_source: bool) -> None:
+    # guards rule 3 where the connection comes up late: the decision was made before the notice
+    async with world(serve, serve) as w, client(w) as c:
+        drained = w.caches[-2 if as_source else 0]
+        await w.coordinator.tell(2, drained.record(1))
+        await c.ask()
+        assert (await c.reply()).kind == "served"
+        with anyio.fail_after(5):
+            n = 0
+            while n < 20:
+                n += 1
+                await c.ask(entity=f"{n:016x}")
+                assert (await c.reply()).kind == "served"
+        late = [f for cache in w.caches for f in cache.fetches[-10:]]
+        assert not [f for f in late if f.fields.get("up") == drained.name]
+        assert as_source or len(drained.fetches) <= 1
+
+
+async def test_a_purge_that_was_told_lowers_the_age_of_copies_that_will_do() -> None:
+    async with world(serve) as w, client(w) as c:
+        now = int(time.time() * 1000)
+        await w.coordinator.tell(3, bytes.fromhex(KEY) + struct.pack(">Q", now))
+        await w.coordinator.tell(4, struct.pack(">HQ", 99, now))
+        with anyio.fail_after(5):
+            while True:
+                await c.ask(route="video")
+                await c.reply()
+                if "cap" in w.caches[0].fetches[-1].fields:
+                    break
+        assert 0 < int(w.caches[0].fetches[-1].fields["cap"]) <= time.time() * 1000 - now + 1
+        await c.ask(route="video", entity=f"{1:016x}", set="99")
+        await c.reply()
+        assert "cap" in w.caches[0].fetches[-1].fields
+
+
+async def test_the_feed_is_followed_again_from_the_last_event() -> None:
+    async with world(serve, serve) as w:
+        while not w.coordinator.streams:
+            await w.coordinator.followed.wait()
+        await w.coordinator.tell(4, struct.pack(">HQ", 3, 5))
+        with anyio.fail_after(10):
+            while 2 not in w.coordinator.after:  # lost until it had read the event
+                for stream in w.coordinator.streams:
+                    await stream.aclose()
+                w.coordinator.streams.clear()
+                await w.coordinator.followed.wait()
+        assert w.coordinator.after[0] == 1 and set(w.coordinator.after) == {1, 2}
+
+
+async def test_a_new_member_at_an_old_address_gets_its_own_connection() -> None:
+    async with world(serve) as w, client(w) as c:
+        cache = w.caches[0]
+        await c.ask()
+        await c.reply()
+        before, old = cache.connections, cache.record(2)
+        cache.name = "s-000000ff"
+        await w.coordinator.tell(2, old + cache.record(0))
+        with anyio.fail_after(5):
+            while cache.connections == before:
+                await c.ask()
+                await c.reply()
+
+
+def start(path: Path, config: dict[str, object]) -> subprocess.Popen[bytes]:
+    path.write_text(json.dumps(config))
+    env = os.environ | {"RELAY_CONFIG": str(path)}
+    return subprocess.Popen([sys.executable, "-m", "zincladder"], env=env, stderr=subprocess.PIPE)
+
+
+async def test_sigterm_takes_what_still_comes_answers_all_and_exits_0(tmp_path: Path) -> None:
+    gate = anyio.Event()
+
+    async def late(_: StubCache, fetch: Fetch) -> None:
+        await gate.wait()
+        await serve(_, fetch)
+
+    caches = [StubCache("s-00000001", 0, late), StubCache("s-000000b0", 2)]
+    async with anyio.create_task_group() as tasks:
+        for cache in caches:
+            await tasks.start(cache.run)
+        process = start(tmp_path / "config.json", configuration([c.member() for c in caches]))
+        assert process.stderr
+        line = await anyio.to_thread.run_sync(process.stderr.readline)
+        host, port = json.loads(line)["listen"]
+        async with await anyio.connect_tcp(host, port) as first:
+            c = Client(first)
+            await c.ask(patience="5000")
+            while not caches[0].fetches:
+                await caches[0].came.wait()
+            process.send_signal(signal.SIGTERM)
+            good = True
+            while good:  # it says so as soon as it knows
+                await c.send("status", b"\x02\0\1\1")
+                good = (await c.reply()).good
+            async with await anyio.connect_tcp(host, port) as second:  # and still takes new connections
+                late_client = Client(second)
+                await late_client.ask(patience="5000", trace="f" * 16)
+                gate.set()
+                assert (await late_client.reply()).kind == (await c.reply()).kind == "served"
+        assert await anyio.to_thread.run_sync(process.wait) == 0
+        tasks.cancel_scope.cancel()
+
+
+@pytest.mark.parametrize(
+    ("change", "key"),
+    [
+        ({"listen": "nowhere"}, "'listen'"),
+        ({"settings": {"categories": [{}]}}, "'settings.categories[0].name'"),
+        (
+            {"known": {"updates": [{"endpoints": {"endpoints": [{"name": "s-1"}]}}]}},
+            "'known.updates[0].endpoints.endpoints[0].type'",
+        ),
+        ({"limits": {"sockets": "many"}}, "'limits.sockets'"),
+    ],
+)
+def test_a_bad_configuration_names_its_key_and_exits_2(
+    tmp_path: Path, change: dict[str, object], key: str
+) -> None:
+    process = start(tmp_path / "config.json", configuration([]) | change)
+    said = process.communicate()[1].decode()
+    assert process.returncode == 2 and key in said and "Traceback" not in said
