Let the first load reports weigh alike and spill from three quarters of a cache

Cause: decide.py _report began at one core and moved by 0.02 a report, so every cache looked crowded for seconds. The first reports now weigh alike (1/n), and three must have come.

--- a/zincladder/decide.py
+++ b/zincladder/decide.py
@@ -16,7 +16,7 @@
 
 POINTS = 16  # virtual nodes for each transfer that a member's link fits: shares follow links within a tenth
 POINTS_EVEN = 128  # where no weights are listed; the paper's 4 leave some members twice the share of others
-SPILL = 1.0  # of a cache's link in use, as this router sees it: past it an object goes on to the next point
+SPILL = 0.75  # of a cache's link in use, as this router sees it: past it an object goes on to the next point
 UNEVEN = 1.5  # and only past so many times its neighbours' mean: slow fills crowd all caches alike
 PROMPT = 1.0  # of a class's base aim that a strain may add to a request's sending; past it, it is refused
 LINK_FULL = 2.5  # transfers on the location's link over those at full pace; fills then crawl past the aim
@@ -24,6 +24,7 @@
     0.2  # a parent's link, of the pooled links of the caches that it stands behind: the least likely
 )
 CORES_AT = (0.25, 0.8)  # how busy a cache must be for its report to tell its cores
+REPORTS_LEAST = 3  # before they are gone by: one alone is noise
 CORES_STEPS = (0.02, 0.1)  # weight of a report that tells of more cores, and of fewer: rather too few
 TRIES = 4  # attempts of one request: enough for a few dead members, too few to feed an overload
 KEEP = 1  # the one rank of all kept copies: with a single rank every cache is a plain LRU
@@ -133,7 +134,7 @@
         self.timed = [0] * len(settings.classes)
         self.out_there, self.weight_there = 0, 1.0  # attempts out at the location's caches; their weights
         self.cores = 1.0  # transfers that one cache sends at full pace: judged where weights are not listed
-        self.cores_told = False
+        self.reports = 0  # of caches, that told of their cores
         self.link = 0.0  # how full the location's link is, as last reported
         self.zone_routers = max(1, *settings.routers_by_zone[settings.zone : settings.zone + 1], 1)
         self.out: list[api.Action] = []
@@ -277,7 +278,8 @@
 
         Its own attempts times the routers would move objects by chance wherever each sees little.
         """
-        if seen.member.id not in self.caches.ids or not (self.settings.weights_listed or self.cores_told):
+        known = self.settings.weights_listed or self.reports >= REPORTS_LEAST
+        if seen.member.id not in self.caches.ids or not known:
             return 0.0
         own = seen.out / max(self._weight(seen.member), 1.0)
         return own + self._mean_crowd() * (self.zone_routers - 1) / self.zone_routers
@@ -430,9 +432,10 @@
         told = dict(zip(names, report, strict=True))
         self.link = told.get("link", self.link)
         if CORES_AT[0] <= told.get("busy", 0.0) <= CORES_AT[1] and "held" in told:
-            cores, self.cores_told = told["held"] / told["busy"], True
-            self.cores += CORES_STEPS[cores < self.cores] * (cores - self.cores)
-            self.cores = max(1.0, self.cores)
+            self.reports += 1  # the first weigh alike: a slow start refused much of a calm day
+            cores = told["held"] / told["busy"]
+            share = max(CORES_STEPS[cores < self.cores], 1 / self.reports)
+            self.cores = max(1.0, self.cores + share * (cores - self.cores))
 
     def _judge(self, event: api.AttemptEnded, attempt: Attempt, now: float) -> None:
         """Files an outcome under the member it tells of: the fill's source, or the cache asked."""
