--- a/tests/stands.py
+++ b/tests/stands.py
@@ -218,19 +218,24 @@
 
 @contextlib.asynccontextmanager
 async def world(
-    *scripts: Script, origin: Script = serve, hosts: list[dict[str, Any]] | None = None, **more: Any
+    *scripts: Script,
+    origin: Script = serve,
+    hosts: list[dict[str, Any]] | None = None,
+    members: list[StubCache] | None = None,
+    operator: dict[str, Any] | None = None,
 ) -> AsyncIterator[World]:
     """A front with a cache for each script, one parent and the origin (the last two of `caches`)."""
     caches = [StubCache(f"s-{i + 1:08x}", 0, script) for i, script in enumerate(scripts)]
     caches += [StubCache("s-000000a0", 1), StubCache("s-000000b0", 2, origin)]
+    caches = members or caches
     coordinator = Coordinator()
     async with anyio.create_task_group() as tasks:
         for cache in caches:
             await tasks.start(cache.run)
         await tasks.start(coordinator.run)
-        config = config_of(configuration([c.member() for c in caches], coordinator.port, **more))
-        operator = operator_of({"dns": DNS | ({"host": DNS_HOSTS + hosts} if hosts else {})}, config.names)
-        listening = await tasks.start(front, config, operator)
+        config = config_of(configuration([c.member() for c in caches], coordinator.port))
+        table = {"dns": DNS | {"host": DNS_HOSTS + (hosts or [])}} | (operator or {})
+        listening = await tasks.start(front, config, operator_of(table, config.names), anyio.Event())
         yield World(caches, coordinator, listening, tasks)
         tasks.cancel_scope.cancel()
 
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -281,7 +281,7 @@
         process = start(tmp_path / "config.json", configuration([c.member() for c in caches]))
         assert process.stderr
         line = await anyio.to_thread.run_sync(process.stderr.readline)
-        host, port = json.loads(line)["listen"]
+        host, port = json.loads(line)["clients"]
         async with await anyio.connect_tcp(host, port) as first:
             c = Client(first)
             await c.ask(patience="5000")
--- a/zincladder/__main__.py
+++ b/zincladder/__main__.py
@@ -5,7 +5,7 @@
 import logging
 import signal
 import sys
-from dataclasses import dataclass
+from dataclasses import asdict, dataclass
 
 import anyio
 import structlog
@@ -35,11 +35,15 @@
     core.listed(kind, news.version, tuple(member for member, _ in news.members))
 
 
-async def stop_on_signal(clients: Clients) -> None:
-    """SIGTERM ends the front in order; what was taken is answered first."""
+async def run(config: configuration.Config, operator: configuration.Operator) -> None:
+    """Runs a front; SIGTERM ends it in order, and what was taken is answered first."""
+    stopping = anyio.Event()
     with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-        async for _ in signals:
-            await clients.stop()
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(front, config, operator, stopping)
+            async for _ in signals:
+                stopping.set()
+                break
 
 
 @dataclass(frozen=True, slots=True)
@@ -47,12 +51,15 @@
     """Where a front that is ready listens; a port of 0 in the configuration is the system's choice."""
 
     clients: tuple[str, int]
-    dns: tuple[str, int] | None
+    dns: tuple[str, int] | None = None
+    metrics: tuple[str, int] | None = None
 
 
 async def front(
     config: configuration.Config,
     operator: configuration.Operator,
+    stopping: anyio.Event,
+    *,
     task_status: TaskStatus[Listening] = anyio.TASK_STATUS_IGNORED,
 ) -> None:
     """Runs all parts until the client side has ended."""
@@ -61,15 +68,17 @@
     core = Core(config.settings, config.seed, caches, clock)
     last, events = known_news(config)
     clients = Clients(config, core)
-    where_dns = None
+    feed: Feed | None = None
+    where_dns = where_metrics = None
     async with anyio.create_task_group() as tasks:
-        tasks.start_soon(stop_on_signal, clients)
+        tasks.start_soon(clients.stop, stopping)
         tasks.start_soon(caches.run)
         for news in events:
             tell(core, caches, news)
         tasks.start_soon(core.run)
         if config.coordinator:
-            tasks.start_soon(Feed(config.coordinator, last, lambda news: tell(core, caches, news)).run)
+            feed = Feed(config.coordinator, last, lambda news: tell(core, caches, news))
+            tasks.start_soon(feed.run)
         if operator.dns:
             # Imported here: a front without it starts sooner after a restart.
             from zincladder.dns.answers import Answers
@@ -78,8 +87,23 @@
             server = DnsServer(operator.dns.listen, Answers(operator.dns, core, caches.where), clock)
             where_dns = server.address
             tasks.start_soon(server.run)
-        log.info("ready", name=config.name, listen=clients.address, dns=where_dns, members=len(core.members))
-        task_status.started(Listening(clients.address, where_dns))
+        if operator.metrics or operator.remote_write:
+            from zincladder.metrics.endpoint import Endpoint
+            from zincladder.metrics.registry import Registry
+            from zincladder.metrics.remote_write import RemoteWrite
+
+            registry = Registry(core, config.name, lambda: feed is not None and feed.connected)
+            if operator.metrics:
+                where_metrics = await tasks.start(Endpoint(operator.metrics, registry).run)
+            if operator.remote_write:
+
+                def count(outcome: str) -> None:
+                    core.counts["remote_write", outcome] += 1
+
+                tasks.start_soon(RemoteWrite(operator.remote_write, registry, count).run)
+        listening = Listening(clients.address, where_dns, where_metrics)
+        log.info("ready", name=config.name, members=len(core.members), **asdict(listening))
+        task_status.started(listening)
         await clients.run()
         tasks.cancel_scope.cancel()
     log.info("ended", answers={k[1]: n for k, n in core.counts.items() if k[0] == "answers"})
@@ -104,7 +128,7 @@
     except configuration.ConfigError as fault:
         log.error("bad configuration", why=str(fault))
         return 2
-    anyio.run(front, config, operator)
+    anyio.run(run, config, operator)
     return 0
 
 
--- /dev/null
+++ b/zincladder/metrics/__init__.py
@@ -0,0 +1,1 @@
+"""Counters of the daemon, served to Prometheus and pushed by remote write."""
--- /dev/null
+++ b/zincladder/metrics/endpoint.py
@@ -0,0 +1,64 @@
+"""GET /metrics over HTTP/1.1."""
+
+from __future__ import annotations
+
+import anyio
+import anyio.abc
+import h11
+import structlog
+
+from zincladder.config import Address
+from zincladder.metrics.registry import Registry
+
+IDLE = 10.0
+MOST_OPEN = 16
+log = structlog.get_logger()
+
+
+class Endpoint:
+    """Serves the registry's text until it is cancelled."""
+
+    def __init__(self, listen: Address, registry: Registry) -> None:
+        self._listen, self._registry = listen, registry
+        self._room = anyio.Semaphore(MOST_OPEN)
+
+    async def run(self, *, task_status: anyio.abc.TaskStatus[Address] = anyio.TASK_STATUS_IGNORED) -> None:
+        host, port = self._listen
+        listener = await anyio.create_tcp_listener(local_host=host, local_port=port)
+        async with listener:
+            task_status.started((host, listener.extra(anyio.abc.SocketAttribute.local_port)))
+            await listener.serve(self._connection)
+
+    async def _connection(self, stream: anyio.abc.SocketStream) -> None:
+        talk = h11.Connection(h11.SERVER)
+        async with stream, self._room:
+            try:
+                with anyio.fail_after(IDLE):
+                    while True:
+                        event = talk.next_event()
+                        if event is h11.NEED_DATA:
+                            talk.receive_data(await stream.receive())
+                        elif isinstance(event, h11.Request):
+                            await self._answer(talk, event, stream)
+                            return
+                        elif isinstance(event, h11.ConnectionClosed):
+                            return
+            except (h11.ProtocolError, TimeoutError, anyio.EndOfStream, anyio.BrokenResourceError) as fault:
+                log.info("metrics connection ended", why=str(fault) or type(fault).__name__)
+
+    async def _answer(
+        self, talk: h11.Connection, request: h11.Request, stream: anyio.abc.SocketStream
+    ) -> None:
+        found = request.target.split(b"?")[0] == b"/metrics"
+        allowed = request.method in (b"GET", b"HEAD")
+        status = 404 if not found else 200 if allowed else 405
+        body = self._registry.text().encode() if status == 200 else b""
+        headers = [
+            ("Content-Type", "text/plain; version=0.0.4; charset=utf-8"),
+            ("Content-Length", str(len(body))),
+            ("Connection", "close"),
+        ]
+        parts: list[h11.Event] = [h11.Response(status_code=status, headers=headers)]
+        if request.method != b"HEAD":
+            parts.append(h11.Data(body))
+        await stream.send(b"".join(talk.send(part) or b"" for part in (*parts, h11.EndOfMessage())))
--- a/zincladder/net/clients.py
+++ b/zincladder/net/clients.py
@@ -75,8 +75,9 @@
                     await anyio.sleep(0.01)
             tasks.cancel_scope.cancel()
 
-    async def stop(self) -> None:
+    async def stop(self, stopping: anyio.Event) -> None:
         """Guards a planned restart: says so to `status`, but takes what still comes for a while."""
+        await stopping.wait()
         self.stopping = True
         log.info("stopping", open=self._open)
         await anyio.sleep(STAY)
