Share the outcome of a connection that comes up; leave silent connections; bound memory

Checked by reading net/caches.py: requests waited in turn for a lock while a connection came up, so at a machine that is cut off ten of them cost 0.4 s each; now all who wait share one outcome. A connection on which a member owed an answer and sent nothing for 0.8 s is not used again: only a new one proves that nothing ran. Ids whose answers may still come are bounded. net/clients.py refused nothing for memory: bodies of open requests are now bounded by the memory limit and by the settings' maxOpen. Tests: a member whose queue is full, a silent connection, requests past the limit.

--- a/tests/stands.py
+++ b/tests/stands.py
@@ -59,6 +59,7 @@
     aborts: list[str] = field(default_factory=list)
     came: anyio.Event = field(default_factory=anyio.Event)
     connections: int = 0
+    mute: bool = False  # cut off: not even probes are answered
 
     def member(self, status: str = "up", since: int = 0) -> dict[str, Any]:
         where = f"127.0.0.1:{self.port}"
@@ -88,6 +89,8 @@
                         data += await stream.receive()
                     head, _, data = data.partition(b"\r\n")
                     words = head.decode().split(" ")
+                    if words[0] == "stats" and self.mute:
+                        continue
                     if words[0] == "stats":
                         async with turn:
                             await stream.send(
@@ -223,6 +226,7 @@
     hosts: list[dict[str, Any]] | None = None,
     members: list[StubCache] | None = None,
     operator: dict[str, Any] | None = None,
+    **more: Any,
 ) -> AsyncIterator[World]:
     """A front with a cache for each script, one parent and the origin (the last two of `caches`)."""
     caches = [StubCache(f"s-{i + 1:08x}", 0, script) for i, script in enumerate(scripts)]
@@ -233,7 +237,7 @@
         for cache in caches:
             await tasks.start(cache.run)
         await tasks.start(coordinator.run)
-        config = config_of(configuration([c.member() for c in caches], coordinator.port))
+        config = config_of(configuration([c.member() for c in caches], coordinator.port, **more))
         table = {"dns": DNS | {"host": DNS_HOSTS + (hosts or [])}} | (operator or {})
         listening = await tasks.start(front, config, operator_of(table, config.names), anyio.Event())
         yield World(caches, coordinator, listening, tasks)
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+import contextlib
 import json
 import os
 import signal
+import socket
 import struct
 import subprocess
 import sys
@@ -110,6 +112,55 @@
     return (await c.reply()).kind
 
 
+async def test_a_member_that_does_not_come_up_holds_up_no_queue() -> None:
+    # a cut-off machine takes no connection; waiting for it in turn would cost ten requests 0.4 s each
+    with socket.create_server(("127.0.0.1", 0), backlog=0) as full, contextlib.ExitStack() as held:
+        for _ in range(4):  # its queue is full: the system drops what asks for more
+            filler = held.enter_context(socket.socket())
+            filler.setblocking(False)
+            filler.connect_ex(full.getsockname())
+        async with world(serve) as w, client(w) as c:
+            w.caches[0].port = full.getsockname()[1]
+            w.caches[0].name = "s-000000ff"
+            lost = StubCache("s-00000001", 0).record(2)
+            await w.coordinator.tell(2, lost + w.caches[0].record(0))
+            with anyio.fail_after(10):
+                while (await _served(c)) and w.caches[0].fetches and not w.caches[1].fetches:
+                    pass
+            for n in range(10):
+                await c.ask(patience="2000", entity=f"{n:016x}")
+            replies = [await c.reply() for _ in range(10)]
+            assert {r.kind for r in replies} == {"served"}
+
+
+async def _served(c: Client) -> bool:
+    await c.ask()
+    return (await c.reply()).kind == "served"
+
+
+async def test_a_silent_connection_is_not_used_again() -> None:
+    # guards against a machine that is cut off: what is open stays open, and silent
+    async with world(hold) as w, client(w) as c:
+        cache = w.caches[0]
+        cache.mute = True
+        for _ in range(2):
+            before = cache.connections
+            await c.ask(patience="1200")
+            await c.reply()
+            with anyio.fail_after(10):
+                while cache.connections == before:  # the next attempt at it, whenever the module tries one
+                    await c.ask(patience="300")
+                    await c.reply()
+
+
+async def test_requests_past_the_memory_limit_are_refused_at_once() -> None:
+    async with world(hold, limits={"memory_mb": 1}) as w, client(w) as c:
+        for _ in range(20):
+            await c.ask(patience="5000")
+        replies = [await c.reply() for _ in range(4)]
+        assert {(r.kind, r.fields["pause"]) for r in replies} == {("Throttled", "1000")}
+
+
 async def test_answers_come_in_any_order_and_a_withdrawn_request_gets_none() -> None:
     gates: dict[str, anyio.Event] = {}
 
--- a/zincladder/config.py
+++ b/zincladder/config.py
@@ -22,6 +22,8 @@
 
 MEMORY_MB = 192  # defaults are the least that the platform promises
 SOCKETS = 1024
+OWN_MB = 64  # what the daemon itself takes, with room to spare; the rest holds bodies
+BODY = 240_000  # bytes of an object's part at most
 
 
 class ConfigError(Exception):
@@ -242,6 +244,7 @@
     names: Names
     idle_close: float
     streams: int
+    most_open: int  # requests that may be open at once
     known: dict[str, Any]
 
 
@@ -353,6 +356,8 @@
         conf.many("zones", _text, "texts", []),
         conf.many("models", _text, "texts", []),
     )
+    memory = limits.whole("memory_mb", MEMORY_MB)
+    bodies = max(16, (memory - OWN_MB) * (1 << 20) // BODY)
     return Config(
         name=top.text("name", "front"),
         listen=top.get("listen", address, "an address like 127.0.0.1:8080", None),
@@ -360,12 +365,13 @@
         if "coordinator" in top.data
         else None,
         seed=top.get("seed", lambda v: int(_text(v), 16), "hex digits", 0),
-        memory_mb=limits.whole("memory_mb", MEMORY_MB),
+        memory_mb=memory,
         sockets=limits.whole("sockets", SOCKETS),
         settings=settings_of(conf),
         names=names,
         idle_close=ceilings.num("idleClose", 30.0),
         streams=ceilings.whole("streamsPerConn", 100),
+        most_open=min(bodies, ceilings.whole("maxOpen", bodies)),
         known=top.sub("known").data,
     )
 
--- a/zincladder/net/caches.py
+++ b/zincladder/net/caches.py
@@ -23,6 +23,10 @@
 CACHES_SHARE = 0.4  # of the descriptors
 PROBE_LIMIT = 1.0  # seconds for the answer to a probe
 STALL = 10.0
+SILENT_AFTER = (
+    0.8  # seconds without a byte from a member that owes an answer: its connection is not used again
+)
+GIVEN_UP_MOST = 256  # ids on one connection whose answers may still come
 CONNECT_LIMIT = 0.4  # where the settings name none
 ENDS = {
     b"200": How.SERVED,
@@ -68,6 +72,14 @@
             self.news.set()
 
 
+@dataclass(slots=True, eq=False)
+class _Opening:
+    """A connection that is coming up, for all who wait for it."""
+
+    news: anyio.Event = field(default_factory=anyio.Event)
+    fault: OSError | None = None
+
+
 class _Link:
     """One connection to a member: many requests, answers in any order."""
 
@@ -76,7 +88,7 @@
         self.inbox, self.outbox = Inbox(sock), Outbox(sock)
         self.open: dict[bytes, _Waiting] = {}
         self.given_up: set[bytes] = set()  # their answers may still come, so the ids are not used again
-        self.closed = False
+        self.closed = self.retired = False
         self.used_at = anyio.current_time()
         self.scope = anyio.CancelScope()
 
@@ -127,9 +139,21 @@
             waiting = self.open.pop(words[0], None)
             if waiting is not None:
                 waiting.finish(self._end(words[1], fields, body))
-            elif words[0] not in self.given_up:
+            elif words[0] in self.given_up:
+                self.given_up.discard(words[0])
+            else:
                 log.warning("answer that nobody asked for", id=words[0][:40].decode("latin-1"))
 
+    def give_up(self, name: bytes) -> None:
+        """Guards against a late answer: its id is not used again here until that answer has come."""
+        self.given_up.add(name)
+        self.retired |= len(self.given_up) > GIVEN_UP_MOST
+
+    def settle(self) -> None:
+        """Ends a connection that is not used again once nothing is open on it."""
+        if self.retired and not self.open:
+            self.scope.cancel()
+
     def _end(self, word: bytes, raw: bytes, body: bytearray) -> End:
         fields: dict[str, str] = {}
         if raw != b"-":
@@ -160,11 +184,10 @@
         self._class_names = config.names.classes
         self._addresses: dict[api.MemberId, Address] = {}
         self._links: dict[api.MemberId, list[_Link]] = {}
-        self._opening: dict[api.MemberId, anyio.Lock] = {}
+        self._opening: dict[api.MemberId, _Opening] = {}
         self._tasks: TaskGroup | None = None
         self._count = 0
         self._probes = 0
-        self.opened = 0
 
     async def run(self) -> None:
         """Keeps the connections until it is cancelled."""
@@ -217,6 +240,7 @@
     async def _exchange(self, link: _Link, name: bytes, parts: Sequence[bytes], order: Order | None) -> End:
         """One message and the wait for its answer; cancelled, it is given up on the wire too."""
         waiting = link.open[name] = _Waiting()
+        began, received = anyio.current_time(), link.inbox.received
         entry = waiting.entry = link.outbox.put(parts, order.may_go if order else None)
         try:
             while waiting.end is None:
@@ -227,9 +251,15 @@
         finally:
             if waiting.end is None:
                 link.open.pop(name, None)
-                if not link.closed and not link.outbox.drop(entry) and order is not None:
-                    link.given_up.add(name)
-                    link.outbox.put([b"abort " + name + b"\r\n"])
+                if not link.closed and not link.outbox.drop(entry):
+                    link.give_up(name)
+                    if order is not None:
+                        link.outbox.put([b"abort " + name + b"\r\n"])
+                    # Guards against a machine that is cut off: its connection stays up and silent, and only a
+                    # new one, which does not come up, proves that the next request never ran.
+                    silent = link.inbox.received == received
+                    link.retired |= silent and anyio.current_time() - began > SILENT_AFTER
+            link.settle()
 
     def _fetch(self, order: Order) -> list[bytes]:
         ask = order.ask
@@ -262,25 +292,39 @@
         """A connection with room for one more of that id, opened where there is none."""
         if found := self._usable(member, name):
             return found
-        async with self._opening.setdefault(member, anyio.Lock()):
-            if found := self._usable(member, name):  # another request opened it meanwhile
+        while (opening := self._opening.get(member)) is not None:
+            # Guards against a queue at a member that does not come up: all who wait share one outcome.
+            await opening.news.wait()
+            if opening.fault is not None:
+                raise opening.fault
+            if found := self._usable(member, name):
                 return found
-            if self._count >= self._config.sockets * CACHES_SHARE:
-                self._make_room()
-            with anyio.fail_after(self._config.settings.connect_timeout or CONNECT_LIMIT):
-                sock = await connect(*self._addresses[member])
-            link = _Link(sock, self._names)
-            self._links.setdefault(member, []).append(link)
-            self._count += 1
-            self.opened += 1
-            assert self._tasks is not None
-            self._tasks.start_soon(self._keep, member, link)
-            return link
+        opening = self._opening[member] = _Opening()
+        try:
+            return await self._open(member)
+        except (OSError, TimeoutError) as fault:
+            opening.fault = OSError(str(fault) or "no connection in time")
+            raise opening.fault from fault
+        finally:  # when this request was withdrawn meanwhile, one of those who wait opens in its place
+            del self._opening[member]
+            opening.news.set()
+
+    async def _open(self, member: api.MemberId) -> _Link:
+        if self._count >= self._config.sockets * CACHES_SHARE:
+            self._make_room()
+        with anyio.fail_after(self._config.settings.connect_timeout or CONNECT_LIMIT):
+            sock = await connect(*self._addresses[member])
+        link = _Link(sock, self._names)
+        self._links.setdefault(member, []).append(link)
+        self._count += 1
+        assert self._tasks is not None
+        self._tasks.start_soon(self._keep, member, link)
+        return link
 
     def _usable(self, member: api.MemberId, name: bytes) -> _Link | None:
         for link in self._links.get(member, ()):
             full = len(link.open) >= self._config.streams or name in link.open or name in link.given_up
-            if not (link.closed or link.scope.cancel_called or link.outbox.ended or full):
+            if not (link.closed or link.retired or link.scope.cancel_called or link.outbox.ended or full):
                 return link
         return None
 
--- a/zincladder/net/clients.py
+++ b/zincladder/net/clients.py
@@ -56,6 +56,7 @@
         self._clients: set[_Client] = set()
         self._open = 0
         self._changed = anyio.Event()
+        self._accepting = anyio.CancelScope()
         self.stopping = False
 
     @property
@@ -81,11 +82,11 @@
         self.stopping = True
         log.info("stopping", open=self._open)
         await anyio.sleep(STAY)
-        self._listener_done.cancel()
+        self._accepting.cancel()
 
     async def _accept(self, tasks: TaskGroup) -> None:
         most = max(1, int(self._config.sockets * CLIENTS_SHARE))
-        with anyio.CancelScope() as self._listener_done:
+        with self._accepting:
             while True:
                 try:
                     sock, _ = self._listener.accept()
@@ -192,6 +193,14 @@
                 thrift.application_exception("handle", call.seq, thrift.PROTOCOL_ERROR, str(fault))
             )
             return
+        if self._open >= self._config.most_open:
+            # Guards the memory limit, which a request with its body counts against. The settings' own ceiling
+            # is kept here too: what is past it never reaches the module.
+            log.warning("too many requests open", most=self._config.most_open)
+            self._core.counts["answers", "refused"] += 1
+            pause = self._core.settings.max_retry_after
+            client.outbox.put(_reply(call.seq, Answer("refused", retry_after=pause)))
+            return
         scope = client.open[call.seq] = anyio.CancelScope()
         self._open += 1
         tasks.start_soon(self._request, client, call.seq, ask, scope)
