Keep a fault in the decisions from ending the process; test the core by itself

Seen: in a test where the Router raised, the fault came up a second time while the request's books were closed, hid the first, and from a timer or a list it would have ended the daemon. engine.py: timers, probes, lists, purges and the closing of books log such a fault and go on; a request's own fault fails that request. Tests: each end of an attempt against 'a write is sent again only if it is proved not to have run', withdrawals, deadlines, drains and purges told between decision and send, steering without outcomes, messages that wait in a full socket.

--- /dev/null
+++ b/tests/test_core.py
@@ -0,0 +1,186 @@
+"""The core by itself, with a carrier that is written here, and the two ends of a socket."""
+
+from __future__ import annotations
+
+import socket
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
+from typing import Any
+
+import anyio
+import pytest
+
+from tests.conftest import FLEET, cache, settings
+from zincladder import interface as api
+from zincladder.core.ends import RESULTS, End, How
+from zincladder.core.engine import Answer, Ask, Core, Order
+from zincladder.net.stream import Ended, Inbox, Outbox
+
+pytestmark = pytest.mark.anyio
+PROVED = {api.Result.REFUSED, api.Result.UNREACHABLE, api.Result.UNSENT, api.Result.MISS}
+
+
+class Carrier:
+    """Holds each order until the test ends it."""
+
+    def __init__(self) -> None:
+        self.orders: list[Order] = []
+        self.ends: dict[int, End] = {}
+        self.news = anyio.Event()
+
+    async def carry(self, order: Order) -> End:
+        n = len(self.orders)
+        self.orders.append(order)
+        self._stir()
+        while n not in self.ends:
+            await self.news.wait()
+        return self.ends[n]
+
+    def end(self, n: int, how: How) -> None:
+        self.ends[n] = End(how)
+        self._stir()
+
+    def _stir(self) -> None:
+        news, self.news = self.news, anyio.Event()
+        news.set()
+
+    async def until(self, fits: Callable[[], bool]) -> None:
+        with anyio.fail_after(5):
+            while not fits():
+                await self.news.wait()
+
+    async def probe(self, member: api.MemberId) -> End:
+        return End(How.SILENT)
+
+    def close_idle(self, member: api.MemberId) -> None:
+        pass
+
+
+class Case:
+    """One request at a core, and what became of it."""
+
+    def __init__(self, **changes: Any) -> None:
+        self.carrier = Carrier()
+        self.core = Core(settings(**changes), 1, self.carrier)
+        self.core.listed(api.ListKind.FULL, 1, FLEET)
+        self.answer: Answer | None = None
+
+    async def serve(self, klass: int = 0, patience: float = 3.0) -> None:
+        due = self.core.clock.now() + patience
+        self.answer = await self.core.serve(Ask("t", klass, 7, 0, 3, due))
+        self.carrier._stir()
+
+
+@asynccontextmanager
+async def case(
+    klass: int = 0, patience: float = 3.0, **changes: Any
+) -> AsyncIterator[tuple[Case, anyio.CancelScope]]:
+    c = Case(**changes)
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(c.core.run)
+        tasks.start_soon(c.serve, klass, patience)
+        await c.carrier.until(lambda: bool(c.carrier.orders))
+        yield c, tasks.cancel_scope
+        tasks.cancel_scope.cancel()
+
+
+@pytest.mark.parametrize("how", list(How))
+async def test_a_write_is_sent_again_only_after_an_end_that_proves_it_never_ran(how: How) -> None:
+    async with case(klass=3) as (c, _):
+        c.carrier.end(0, how)
+        await c.carrier.until(lambda: c.answer is not None or len(c.carrier.orders) > 1)
+        again = RESULTS[how] in PROVED and how is not How.TOO_LATE
+        assert (len(c.carrier.orders) == 2) == again
+        assert again or c.answer
+
+
+async def test_a_withdrawn_request_leaves_no_trace_in_the_router() -> None:
+    async with case() as (c, scope):
+        assert c.core.router.attempts
+        scope.cancel()
+    assert not c.core.router.attempts and not c.core.router.jobs and not c.core.lives
+    assert not any(seen.out for seen in c.core.router.seen.values())
+    assert c.core.counts["answers", "withdrawn"] == 1
+
+
+async def test_a_request_that_nobody_answers_is_answered_by_its_deadline() -> None:
+    async with case(klass=3, patience=0.05) as (c, _):
+        await c.carrier.until(lambda: c.answer is not None)
+        assert c.answer and c.answer.kind == "failed"
+
+
+async def test_a_fault_in_the_router_fails_its_request_and_the_core_goes_on(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    c = Case()
+
+    def fail(*_: object) -> list[api.Action]:
+        raise ZeroDivisionError
+
+    with monkeypatch.context() as patch:
+        patch.setattr(c.core.router, "handle", fail)
+        with pytest.raises(ExceptionGroup):
+            await c.serve()
+    assert not c.core.lives
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(c.serve)
+        await c.carrier.until(lambda: bool(c.carrier.orders))
+        c.carrier.end(0, How.SERVED)
+    assert c.answer and c.answer.kind == "served"
+
+
+@pytest.mark.parametrize("state", [api.State.DRAINING, api.State.GONE])
+@pytest.mark.parametrize("as_source", [False, True])
+async def test_what_was_told_after_the_decision_holds_at_the_send(state: api.State, as_source: bool) -> None:
+    # guards rules 3 and 5 while a connection comes up: the decision is older than the notice
+    async with case() as (c, _):
+        (order,) = c.carrier.orders
+        assert order.may_go() and order.age_now() == 0.0
+        c.core.purge(None, 3, c.core.clock.now() - 0.2)
+        assert 0.2 <= order.age_now() < 1.0
+        lost = order.source if as_source else order.member
+        (member,) = [m for m in FLEET if m.id == lost]
+        c.core.listed(api.ListKind.DELTA, 2, (cache(0, id=lost, kind=member.kind, state=state),))
+        assert not order.may_go()
+
+
+async def test_steering_tells_the_router_of_no_outcome() -> None:
+    c = Case()
+    for n in range(50):
+        due = c.core.clock.now() + 1.0
+        assert c.core.steer(Ask("", 0, n, None, 3, due)) in {m.id for m in FLEET}
+    assert not c.core.router.attempts and not c.core.router.jobs and not c.carrier.orders
+    assert all(seen.failing == seen.out == 0 for seen in c.core.router.seen.values())
+
+
+async def test_a_message_that_waits_is_asked_again_and_one_that_began_is_written_whole() -> None:
+    ours, theirs = socket.socketpair()
+    with ours, theirs:
+        ours.setblocking(False)
+        theirs.setblocking(False)
+        outbox, inbox, allowed = Outbox(ours), Inbox(theirs), True
+        large = outbox.put([b"head\r\n", bytes(4_000_000)])  # more than the system takes at once
+        late = outbox.put([b"late\r\n"], lambda: allowed)
+        dropped = outbox.put([b"dropped\r\n"])
+        outbox.put([b"last\r\n"])
+        assert large.begun and not late.begun
+        assert not outbox.drop(large) and outbox.drop(dropped)
+        allowed = False
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(outbox.run, 5.0)
+            assert await inbox.line(100) == b"head"
+            assert len(await inbox.exactly(4_000_000)) == 4_000_000
+            assert await inbox.line(100) == b"last"
+            tasks.cancel_scope.cancel()
+        assert late.refused and not late.begun and outbox.size == 0
+
+
+@pytest.mark.parametrize("data", [b"x" * 9000, b"\r" * 9000])
+async def test_a_line_without_end_is_malformed(data: bytes) -> None:
+    ours, theirs = socket.socketpair()
+    with ours, theirs:
+        theirs.setblocking(False)
+        ours.sendall(data)
+        with pytest.raises(Ended) as caught:
+            await Inbox(theirs).line(4096)
+        assert caught.value.how is How.GARBLED
--- a/zincladder/core/engine.py
+++ b/zincladder/core/engine.py
@@ -185,9 +185,9 @@
         life = self.lives.pop(number)
         if life.final is None:
             self.counts["answers", "withdrawn"] += 1
-            self._tell(api.ClientLeft(number))
+            self._notify(api.ClientLeft(number))
         for n, (order, _, sent_at) in life.out.items():
-            self._tell(self._ended(number, n, order, End(How.CALLED_OFF), sent_at, True))
+            self._notify(self._ended(number, n, order, End(How.CALLED_OFF), sent_at, True))
 
     def steer(self, ask: Ask) -> api.MemberId | None:
         """The member to which a client is sent that goes there itself; None: the module gave up.
@@ -242,7 +242,7 @@
                 self.members.pop(member.id, None)
             else:
                 self.members[member.id] = member
-        self._tell(api.MemberList(kind, version, members))
+        self._notify(api.MemberList(kind, version, members))
 
     def purge(self, obj: int | None, group: int, made: float) -> None:
         """A purge of one object, or of a whole group, at a Unix time."""
@@ -250,7 +250,7 @@
         self.purged = {k: t for k, t in self.purged.items() if now - t <= self.settings.purge_done}
         what = (None, group) if obj is None else (obj, -1)
         self.purged[what] = max(made, self.purged.get(what, 0.0))
-        self._tell(api.Purged(obj, group, max(0.0, now - made)))
+        self._notify(api.Purged(obj, group, max(0.0, now - made)))
 
     def _ready(self, *members: api.MemberId | None) -> bool:
         return all(
@@ -266,6 +266,13 @@
         for action in self._handle(event):
             self._act(action)
 
+    def _notify(self, event: api.Event) -> None:
+        """Tells of what concerns no request alone: a fault in the decisions must not end the process."""
+        try:
+            self._tell(event)
+        except Exception:
+            log.exception("the router failed", told=type(event).__name__)
+
     def _act(self, action: api.Action) -> None:
         match action:
             case api.Get() | api.Look():
@@ -332,7 +339,7 @@
                 while self._probes:
                     probes.start_soon(self._probe, self._probes.pop())
                 while self._timers and self._timers[0][0] <= self.clock.now():
-                    self._tell(api.TimerFired(heapq.heappop(self._timers)[1]))
+                    self._notify(api.TimerFired(heapq.heappop(self._timers)[1]))
                 if self._probes:
                     continue
                 pause = self._timers[0][0] - self.clock.now() if self._timers else math.inf
@@ -343,4 +350,4 @@
         started = self.clock.now()
         end = await self.carrier.probe(member)
         self.counts["probes", end.how.name.lower()] += 1
-        self._tell(api.ProbeEnded(member, end.result, self.clock.now() - started, end.report))
+        self._notify(api.ProbeEnded(member, end.result, self.clock.now() - started, end.report))
