Forget members that a whole list leaves out; blame who drained, not its source

Checked by reading: net/caches.py kept the address and links of members gone for good, and a whole list that no longer names a member did not close its connections. An attempt stopped at the send blamed the fill's source even where the cache itself was told to drain. Tests: a whole list without a member; which of the two is ready after a notice.

--- a/tests/stands.py
+++ b/tests/stands.py
@@ -59,6 +59,7 @@
     aborts: list[str] = field(default_factory=list)
     came: anyio.Event = field(default_factory=anyio.Event)
     connections: int = 0
+    open: int = 0  # connections
     mute: bool = False  # cut off: not even probes are answered
 
     def member(self, status: str = "up", since: int = 0) -> dict[str, Any]:
@@ -80,7 +81,7 @@
         await listener.serve(self._connection)
 
     async def _connection(self, stream: anyio.abc.ByteStream) -> None:
-        self.connections += 1
+        self.connections, self.open = self.connections + 1, self.open + 1
         data, turn = b"", anyio.Lock()
         try:
             async with stream, anyio.create_task_group() as tasks:
@@ -109,7 +110,9 @@
                     came, self.came = self.came, anyio.Event()
                     came.set()
         except* (anyio.EndOfStream, anyio.BrokenResourceError, anyio.ClosedResourceError):
-            pass  # the front, or the script, closed it
+            self.open -= 1  # the front, or the script, closed it
+            came, self.came = self.came, anyio.Event()
+            came.set()
 
 
 @dataclass
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -141,7 +141,7 @@
         lost = order.source if as_source else order.member
         (member,) = [m for m in FLEET if m.id == lost]
         c.core.listed(api.ListKind.DELTA, 2, (cache(0, id=lost, kind=member.kind, state=state),))
-        assert not order.may_go()
+        assert not order.may_go() and order.member_ready() == as_source  # and so the other is not blamed
 
 
 async def test_steering_tells_the_router_of_no_outcome() -> None:
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -296,6 +296,24 @@
         assert w.coordinator.after[0] == 1 and set(w.coordinator.after) == {1, 2}
 
 
+async def test_a_member_that_a_whole_list_does_not_name_is_gone() -> None:
+    async with world(serve, serve) as w, client(w) as c:
+        gone, *rest = w.caches
+        for n in range(20):
+            await c.ask(entity=f"{n:016x}")
+            assert (await c.reply()).kind == "served"
+        assert gone.fetches and gone.open
+        await w.coordinator.tell(1, b"".join(m.record(0) for m in rest))
+        with anyio.fail_after(5):
+            while gone.open:  # its idle connection is closed
+                await gone.came.wait()
+        before = len(gone.fetches)
+        for n in range(20):
+            await c.ask(entity=f"{n:016x}")
+            assert (await c.reply()).kind == "served"
+        assert len(gone.fetches) == before
+
+
 async def test_a_new_member_at_an_old_address_gets_its_own_connection() -> None:
     async with world(serve) as w, client(w) as c:
         cache = w.caches[0]
--- a/zincladder/__main__.py
+++ b/zincladder/__main__.py
@@ -26,6 +26,8 @@
     if not isinstance(news, Listed):
         core.purge(news.object, news.group, news.made)
         return
+    if news.whole:
+        caches.keep_only({member.id for member, _ in news.members})
     for member, where in news.members:
         if member.state is api.State.GONE:
             caches.forget(member.id)
--- a/zincladder/core/engine.py
+++ b/zincladder/core/engine.py
@@ -59,6 +59,7 @@
     renew: bool = False
     until: float = 0.0  # when the wait for it ends
     may_go: Callable[[], bool] = lambda: True  # asked again when its first byte is about to be written
+    member_ready: Callable[[], bool] = lambda: True  # else it is the source that may not be named any more
     age_now: Callable[[], float] = lambda: 0.0  # the oldest copy that will do, as of that moment
 
 
@@ -315,6 +316,7 @@
             order.held_only, order.renew = action.held_only, action.renew
             order.parent_passes = action.parent_passes
         order.may_go = lambda: self._ready(order.member, order.source)
+        order.member_ready = lambda: self._ready(order.member)
         order.age_now = lambda: self._age(order)
         scope = anyio.CancelScope(deadline=anyio.current_time() + max(0.0, until - now) + 1e-3)
         life.out[n] = (order, scope, now)
--- a/zincladder/net/caches.py
+++ b/zincladder/net/caches.py
@@ -175,6 +175,11 @@
         return tuple(values[n] for n in self._names) if all(n in values for n in self._names) else ()
 
 
+def _turned(order: Order) -> End:
+    """Not sent: the member, or the source of its fill, was told to drain since the decision."""
+    return End(How.TURNED, note=api.Note.SOURCE_FAILED if order.member_ready() else api.Note.NONE)
+
+
 class Caches:
     """Connections to all members: the carrier of the core."""
 
@@ -207,8 +212,14 @@
     def where(self, member: api.MemberId) -> Address | None:
         return self._addresses.get(member)
 
+    def keep_only(self, members: set[api.MemberId]) -> None:
+        """Forgets all that a whole list does not name: they are gone."""
+        for member in self._addresses.keys() - members:
+            self.forget(member)
+
     def forget(self, member: api.MemberId) -> None:
-        """A member that is gone: what is open on it may still end by itself."""
+        """A member that is gone: what is open on it may still end by itself, nothing new is opened."""
+        self._addresses.pop(member, None)
         self.close_idle(member)
 
     def close_idle(self, member: api.MemberId) -> None:
@@ -217,12 +228,14 @@
                 link.scope.cancel()
 
     async def carry(self, order: Order) -> End:
+        if not order.may_go():
+            return _turned(order)
         try:
             link = await self._link(order.member, order.ask.trace.encode())
         except (OSError, TimeoutError) as fault:
             return End(How.NO_CONNECTION, why=str(fault))
-        if not order.may_go():
-            return End(How.TURNED, note=api.Note.SOURCE_FAILED if order.source else api.Note.NONE)
+        if not order.may_go():  # told while the connection came up
+            return _turned(order)
         return await self._exchange(link, order.ask.trace.encode(), self._fetch(order), order)
 
     async def probe(self, member: api.MemberId) -> End:
@@ -244,8 +257,8 @@
         entry = waiting.entry = link.outbox.put(parts, order.may_go if order else None)
         try:
             while waiting.end is None:
-                if entry.refused:
-                    return End(How.TURNED)
+                if entry.refused and order:
+                    return _turned(order)
                 await waiting.news.wait()
             return waiting.end
         finally:
@@ -312,8 +325,11 @@
     async def _open(self, member: api.MemberId) -> _Link:
         if self._count >= self._config.sockets * CACHES_SHARE:
             self._make_room()
+        where = self._addresses.get(member)
+        if where is None:
+            raise OSError("the member is gone")
         with anyio.fail_after(self._config.settings.connect_timeout or CONNECT_LIMIT):
-            sock = await connect(*self._addresses[member])
+            sock = await connect(*where)
         link = _Link(sock, self._names)
         self._links.setdefault(member, []).append(link)
         self._count += 1
@@ -338,6 +354,9 @@
     async def _keep(self, member: api.MemberId, link: _Link) -> None:
         end = await link.run()
         self._count -= 1
-        self._links[member].remove(link)
+        links = self._links[member]
+        links.remove(link)
+        if not links and member not in self._addresses:
+            del self._links[member]
         if end.how in (How.GARBLED, How.STALLED):
             log.warning("cache connection ended", member=member.decode(), how=end.how.name, why=end.why)
