--- a/zincladder/__main__.py
+++ b/zincladder/__main__.py
@@ -5,7 +5,9 @@
 import logging
 import signal
 import sys
-from dataclasses import asdict, dataclass
+from collections.abc import Callable
+from dataclasses import asdict, dataclass, replace
+from functools import partial
 
 import anyio
 import structlog
@@ -18,6 +20,8 @@
 from zincladder.net.clients import Clients
 from zincladder.net.feed import Feed, Listed, News, known_news
 
+TAKEN = ("coordinator", "memory_mb", "sockets", "most_open", "most_unread")  # on SIGHUP
+FIXED = ("name", "listen", "settings", "names", "idle_close", "streams")  # at the next start only
 log = structlog.get_logger()
 
 
@@ -37,15 +41,50 @@
     core.listed(kind, news.version, tuple(member for member, _ in news.members))
 
 
+class Reload:
+    """Reads the configuration again and hands it to the running parts; nothing that they hold is lost."""
+
+    def __init__(self, config: configuration.Config) -> None:
+        self._config = config
+        self.parts: list[Callable[[configuration.Config], None]] = []
+
+    def __call__(self) -> None:
+        """Guards a running front against a file that cannot be used: it goes on with what it has."""
+        try:
+            config = configuration.load()
+        except configuration.ConfigError as fault:
+            log.error("bad configuration, the old one is kept", why=str(fault))
+            return
+        fixed = [key for key in FIXED if getattr(self._config, key) != getattr(config, key)]
+        if fixed:
+            log.warning("keys that take effect at the next start only", keys=fixed)
+        self._config = replace(self._config, **{key: getattr(config, key) for key in TAKEN})
+        for apply in self.parts:
+            apply(self._config)
+        log.info("configuration read again", coordinator=config.coordinator)
+
+
 async def run(config: configuration.Config, operator: configuration.Operator) -> None:
-    """Runs a front; SIGTERM ends it in order, and what was taken is answered first."""
-    stopping = anyio.Event()
-    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+    """Runs a front; SIGTERM ends it in order, and what was taken is answered first. SIGHUP reloads."""
+    stopping, reload = anyio.Event(), Reload(config)
+    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
         async with anyio.create_task_group() as tasks:
-            tasks.start_soon(front, config, operator, stopping)
-            async for _ in signals:
-                stopping.set()
-                break
+
+            async def listen() -> None:
+                async for number in signals:
+                    if number == signal.SIGHUP:
+                        reload()
+                    else:
+                        stopping.set()
+
+            tasks.start_soon(listen)
+            await front(config, operator, stopping, reload=reload)
+            tasks.cancel_scope.cancel()
+
+
+def follow(feed: Feed, config: configuration.Config) -> None:
+    if config.coordinator:
+        feed.follow(config.coordinator)
 
 
 @dataclass(frozen=True, slots=True)
@@ -62,6 +101,7 @@
     operator: configuration.Operator,
     stopping: anyio.Event,
     *,
+    reload: Reload | None = None,
     task_status: TaskStatus[Listening] = anyio.TASK_STATUS_IGNORED,
 ) -> None:
     """Runs all parts until the client side has ended."""
@@ -81,6 +121,10 @@
         if config.coordinator:
             feed = Feed(config.coordinator, last, lambda news: tell(core, caches, news))
             tasks.start_soon(feed.run)
+        if reload:
+            reload.parts += [clients.use, caches.use]
+            if feed:
+                reload.parts.append(partial(follow, feed))
         if operator.dns:
             # Imported here: a front without it starts sooner after a restart.
             from zincladder.dns.answers import Answers
@@ -104,7 +148,15 @@
 
                 tasks.start_soon(RemoteWrite(operator.remote_write, registry, count).run)
         listening = Listening(clients.address, where_dns, where_metrics)
-        log.info("ready", name=config.name, members=len(core.members), **asdict(listening))
+        log.info(
+            "ready",
+            name=config.name,
+            members=len(core.members),
+            memory_mb=config.memory_mb,
+            sockets=config.sockets,
+            most_open=config.most_open,
+            **asdict(listening),
+        )
         task_status.started(listening)
         await clients.run()
         tasks.cancel_scope.cancel()
--- a/zincladder/config.py
+++ b/zincladder/config.py
@@ -22,8 +22,9 @@
 
 MEMORY_MB = 192  # defaults are the least that the platform promises
 SOCKETS = 1024
-OWN_MB = 64  # what the daemon itself takes, with room to spare; the rest holds bodies
+OWN_MB = 28  # what the daemon itself takes (17 at its start, 22 under load); the rest holds requests
 BODY = 240_000  # bytes of an object's part at most
+OPEN_KB = 100  # an open request, most of which wait and hold no body yet
 
 
 class ConfigError(Exception):
@@ -245,6 +246,7 @@
     idle_close: float
     streams: int
     most_open: int  # requests that may be open at once
+    most_unread: int  # bytes of answers that all clients together may leave unread
     known: dict[str, Any]
 
 
@@ -357,7 +359,8 @@
         conf.many("models", _text, "texts", []),
     )
     memory = limits.whole("memory_mb", MEMORY_MB)
-    bodies = max(16, (memory - OWN_MB) * (1 << 20) // BODY)
+    room = max(4, memory - OWN_MB) << 20
+    most = room // (OPEN_KB << 10)
     return Config(
         name=top.text("name", "front"),
         listen=top.get("listen", address, "an address like 127.0.0.1:8080", None),
@@ -371,7 +374,8 @@
         names=names,
         idle_close=ceilings.num("idleClose", 30.0),
         streams=ceilings.whole("streamsPerConn", 100),
-        most_open=min(bodies, ceilings.whole("maxOpen", bodies)),
+        most_open=min(most, ceilings.whole("maxOpen", most)),
+        most_unread=room // 2,
         known=top.sub("known").data,
     )
 
--- a/zincladder/net/caches.py
+++ b/zincladder/net/caches.py
@@ -205,6 +205,10 @@
                         if not link.open and link.used_at < oldest:
                             link.scope.cancel()
 
+    def use(self, config: Config) -> None:
+        """A configuration that was read again: its limits hold from now on."""
+        self._config = config
+
     def know(self, member: api.MemberId, address: Address) -> None:
         """Where a member listens. An id is one process, so an address used again is another member's."""
         self._addresses[member] = address
--- a/zincladder/net/clients.py
+++ b/zincladder/net/clients.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
+import itertools
+import math
 import re
 import socket
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 
 import anyio
+import anyio.lowlevel
 import structlog
 from anyio.abc import TaskGroup
 
@@ -15,15 +18,23 @@
 from zincladder.core.ends import How
 from zincladder.core.engine import DUE_MARGIN, Answer, Ask, Core
 from zincladder.net import thrift
-from zincladder.net.stream import Ended, Inbox, Outbox
+from zincladder.net.sparing import Sparing
+from zincladder.net.stream import Ended, Inbox, Outbox, Tally
 
-OPEN_AT_MOST = 64  # requests on one connection, twice what clients promise; past it, reading waits
-UNREAD_AT_MOST = 4 << 20  # bytes of answers that a client leaves unread before its next request is read
-IDLE = 30.0  # clients close after 4 s; one that forgets is closed here
-STALL = 10.0  # for the rest of a frame, or for a reader of answers, to move on
-CLIENTS_SHARE = 0.5  # of the descriptors
+OPEN_AT_MOST = 32  # requests on one connection, as the protocol says
+TAKEN_BACK_MOST = 16  # requests in a row that were taken back before anything came of them
+UNREAD_AT_MOST = 1 << 20  # bytes of answers that a client leaves unread before its next request is read
+FIRST = 2.2  # seconds from connecting to the first whole message: a close is owed within 3
+STALL = 2.2  # for the rest of a frame, or for a reader of answers, to move on
+IDLE = 5.0  # without a request; clients close after 4 s, and one that keeps its connection is closed here
+SWEEP = 0.2  # seconds between two looks at these
+CLIENTS_SHARE = 0.55  # of the descriptors; usual clients hold a third
+TURN = 32  # messages of one client, or connections, taken before the other tasks have their turn
 STAY = 0.8  # after SIGTERM clients go on coming for 0.6 s
 ID = re.compile(r"[0-9a-f]{16}", re.ASCII)
+TAG = re.compile(r"[0-9A-Za-z_-]{1,64}", re.ASCII)
+MOST_WRITE = 48_000  # bytes of a request's body
+MOST_PART = 1 << 20
 log = structlog.get_logger()
 
 
@@ -38,8 +49,18 @@
     sock: socket.socket
     inbox: Inbox
     outbox: Outbox
+    since: float
+    used_at: float
+    scope: anyio.CancelScope = field(default_factory=anyio.CancelScope)
     open: dict[int, anyio.CancelScope] = field(default_factory=dict)
     room: anyio.Event = field(default_factory=anyio.Event)
+    spoke: bool = False  # a whole message has come
+    frame_at: float = 0.0  # when the message that is coming began
+    taken_back: int = 0
+
+    def end(self) -> None:
+        """Guards what is to come: nothing of this client is passed on from here."""
+        self.scope.cancel()
 
 
 class Clients:
@@ -54,11 +75,18 @@
         self._listener.bind(config.listen)
         self._listener.listen(1024)
         self._clients: set[_Client] = set()
-        self._open = 0
+        self._traces: set[str] = set()  # of the requests that are open
+        self._unread = Tally()
+        self._active = 0  # clients with open requests
         self._changed = anyio.Event()
         self._accepting = anyio.CancelScope()
+        self._warn = Sparing()
         self.stopping = False
 
+    def use(self, config: Config) -> None:
+        """A configuration that was read again: its limits hold from now on."""
+        self._config = config
+
     @property
     def address(self) -> tuple[str, int]:
         host, port = self._listener.getsockname()
@@ -67,8 +95,9 @@
     async def run(self) -> None:
         """Accepts clients until `stop` has let the last request be answered."""
         async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._sweep)
             await self._accept(tasks)
-            while self._open:  # each ends by its own deadline
+            while self._traces:  # each ends by its own deadline
                 self._changed = anyio.Event()
                 await self._changed.wait()
             with anyio.move_on_after(1.0):
@@ -80,94 +109,120 @@
         """Guards a planned restart: says so to `status`, but takes what still comes for a while."""
         await stopping.wait()
         self.stopping = True
-        log.info("stopping", open=self._open)
+        log.info("stopping", open=len(self._traces))
         await anyio.sleep(STAY)
         self._accepting.cancel()
 
     async def _accept(self, tasks: TaskGroup) -> None:
-        most = max(1, int(self._config.sockets * CLIENTS_SHARE))
         with self._accepting:
             while True:
-                try:
-                    sock, _ = self._listener.accept()
-                except (BlockingIOError, InterruptedError):
-                    await anyio.wait_readable(self._listener)
-                    continue
-                except OSError as fault:  # a client that left again, or no descriptor: the rest goes on
-                    log.warning("accept failed", why=str(fault))
-                    await anyio.sleep(0.01)
-                    continue
-                if len(self._clients) >= most:
-                    idle = next((c for c in self._clients if not c.open and not c.inbox.buffered()), None)
-                    if idle:  # guards the descriptors: one nobody uses makes room
-                        idle.outbox.ended = Ended(How.IDLE)
-                        idle.sock.shutdown(socket.SHUT_RDWR)
-                    else:
-                        log.warning("too many clients", most=most)
-                        sock.close()
-                        continue
-                tasks.start_soon(self._client, sock)
+                await self._admit(tasks)
+                await anyio.wait_readable(self._listener)
+        await self._admit(tasks)  # what the system had accepted before is served too
         self._listener.close()
 
-    async def _client(self, sock: socket.socket) -> None:
-        sock.setblocking(False)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        client = _Client(sock, Inbox(sock), Outbox(sock))
-        self._clients.add(client)
-        self._core.counts["clients", "accepted"] += 1
+    async def _admit(self, tasks: TaskGroup) -> None:
+        """Takes the connections that wait."""
+        for taken in itertools.count(1):
+            try:
+                sock, _ = self._listener.accept()
+            except (BlockingIOError, InterruptedError):
+                return
+            except OSError as fault:  # a client that left again, or no descriptor: the rest goes on
+                self._warn.warning("accept failed", why=str(fault))
+                await anyio.sleep(0.01)
+                return
+            if len(self._clients) >= max(1, int(self._config.sockets * CLIENTS_SHARE)):
+                self._make_room()
+            now = anyio.current_time()
+            client = _Client(sock, Inbox(sock), Outbox(sock, self._unread), now, now)
+            self._clients.add(client)
+            tasks.start_soon(self._client, client)
+            if taken % TURN == 0:
+                await anyio.lowlevel.checkpoint()
+
+    def _make_room(self) -> None:
+        """Guards the descriptors: whoever said nothing longest goes first, then whoever is idle longest.
+
+        Where all have requests open, the one with the most loses them: a crowd must not keep others out.
+        """
+        idle = [c for c in self._clients if not c.open and not c.outbox.size]
+        if idle:
+            client = min(idle, key=lambda c: (c.spoke, c.used_at))
+        else:
+            self._warn.warning("too many clients", most=len(self._clients))
+            client = max(self._clients, key=lambda c: len(c.open))
+        self._clients.discard(client)
+        self._core.counts["client_ends", "crowded"] += 1
+        client.end()
+
+    async def _sweep(self) -> None:
+        """Ends connections that say nothing, stop inside a message, or are used no more."""
+        while True:
+            await anyio.sleep(SWEEP)
+            now = anyio.current_time()
+            for c in list(self._clients):
+                if (c.frame_at and now - c.frame_at > STALL) or (not c.spoke and now - c.since > FIRST):
+                    self._warn.warning("client sent no whole message", open=len(c.open))
+                    self._core.counts["client_ends", How.STALLED.name.lower()] += 1
+                    c.end()
+                elif not c.open and not c.outbox.size and now - c.used_at > IDLE:
+                    self._core.counts["client_ends", How.IDLE.name.lower()] += 1
+                    c.end()
+
+    async def _client(self, client: _Client) -> None:
+        sock = client.sock
         try:
-            async with anyio.create_task_group() as tasks:
-                tasks.start_soon(self._writer, client, tasks)
-                try:
-                    await self._reader(client, tasks)
-                except Ended as end:
-                    self._core.counts["client_ends", end.how.name.lower()] += 1
-                    if end.how in (How.GARBLED, How.STALLED):
-                        log.warning(
-                            "client connection ended", how=end.how.name, why=str(end), open=len(client.open)
-                        )
-                tasks.cancel_scope.cancel()  # the client is gone: nobody waits for what is open
+            sock.setblocking(False)
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            self._core.counts["clients", "accepted"] += 1
+            with client.scope:
+                async with anyio.create_task_group() as tasks:
+                    tasks.start_soon(self._writer, client)
+                    try:
+                        await self._reader(client, tasks)
+                    except Ended as end:
+                        self._core.counts["client_ends", end.how.name.lower()] += 1
+                        if end.how is How.GARBLED:
+                            self._warn.warning("client ended", why=str(end), open=len(client.open))
+                    client.end()  # the client is gone: nobody waits for what is open
         finally:
             self._clients.discard(client)
+            client.outbox.forget()
             sock.close()
 
-    async def _writer(self, client: _Client, tasks: TaskGroup) -> None:
+    async def _writer(self, client: _Client) -> None:
         try:
             await client.outbox.run(STALL)
         except Ended as end:
-            if end.how is How.STALLED:
-                log.warning("client connection ended", how=end.how.name, why=str(end), open=len(client.open))
             self._core.counts["client_ends", end.how.name.lower()] += 1
-            tasks.cancel_scope.cancel()
+            if end.how is How.STALLED:
+                self._warn.warning("client does not read", why=str(end), open=len(client.open))
+            client.end()
 
     async def _reader(self, client: _Client, tasks: TaskGroup) -> None:
-        inbox, last = client.inbox, 0
+        inbox, last, turn = client.inbox, 0, 0
         while True:
-            while len(client.open) >= OPEN_AT_MOST or client.outbox.size > UNREAD_AT_MOST:
+            while client.outbox.size > UNREAD_AT_MOST:
                 client.room = anyio.Event()
                 with anyio.move_on_after(0.1):
                     await client.room.wait()
-            with anyio.move_on_after(IDLE) as waiting:
-                await inbox.some()
-            if waiting.cancelled_caught:
-                if client.open:
-                    continue
-                raise Ended(How.IDLE)
-            with anyio.move_on_after(STALL) as waiting:
-                size = int.from_bytes(await inbox.exactly(4), "big")
-                if not 0 < size <= thrift.MOST_FRAME:
-                    raise Ended(How.GARBLED, f"a frame of {size} bytes")
-                frame = await inbox.exactly(size)
-            if waiting.cancelled_caught:
-                raise Ended(How.STALLED, "a frame did not come whole")
+            turn += 1
+            if turn % TURN == 0:
+                await anyio.lowlevel.checkpoint()
+            await inbox.some()
+            client.frame_at = anyio.current_time()
+            size = int.from_bytes(await inbox.exactly(4), "big")
+            if not 0 < size <= thrift.MOST_FRAME:
+                raise Ended(How.GARBLED, f"a frame of {size} bytes")
+            frame = await inbox.exactly(size)
             try:
                 call = thrift.read_call(frame)
             except thrift.Malformed as fault:
                 raise Ended(How.GARBLED, str(fault)) from None
+            client.frame_at, client.spoke, client.used_at = 0.0, True, anyio.current_time()
             if call.verb == "withdraw":
-                scope = client.open.get(call.number)
-                if scope:  # else it crossed the answer, which stands
-                    scope.cancel()
+                self._withdraw(client, call.number)
             elif call.verb == "status":
                 client.outbox.put(thrift.answer("status", call.seq, b"", {}, not self.stopping))
             elif call.verb != "handle":
@@ -176,34 +231,59 @@
                     client.outbox.put(
                         thrift.application_exception(call.verb, call.seq, thrift.UNKNOWN_METHOD, text)
                     )
+            elif call.kind != thrift.CALL:
+                raise Ended(How.GARBLED, f"a 'handle' of message type {call.kind}")
             elif call.seq <= last:
+                # Guards against two requests under one number: nobody could tell their answers apart.
                 raise Ended(How.GARBLED, f"sequence number {call.seq} after {last}")
+            elif len(client.open) >= OPEN_AT_MOST:
+                # Guards the usual clients: what has not begun is never passed on, and the rest is given up.
+                raise Ended(How.GARBLED, f"more than {OPEN_AT_MOST} requests open")
             else:
                 last = call.seq
                 self._take(client, call, tasks)
 
+    def _withdraw(self, client: _Client, seq: int) -> None:
+        scope = client.open.pop(seq, None)
+        if scope is None:  # it crossed the answer, which stands
+            return
+        self._active -= not client.open
+        scope.cancel()
+        client.taken_back += 1
+        if client.taken_back > TAKEN_BACK_MOST:
+            raise Ended(How.GARBLED, f"{client.taken_back} requests taken back, one after another")
+
     def _take(self, client: _Client, call: thrift.Call, tasks: TaskGroup) -> None:
         arrived = self._core.clock.now()
         try:
             ask = self._ask(call.fields, call.body, arrived)
         except BadFields as fault:
-            log.warning("request not understood", why=str(fault))
+            self._warn.warning("request not understood", why=str(fault))
+            self._core.counts["answers", "unusable"] += 1
             client.outbox.put(
                 thrift.application_exception("handle", call.seq, thrift.PROTOCOL_ERROR, str(fault))
             )
             return
-        if self._open >= self._config.most_open:
+        if self._crowded(client):
             # Guards the memory limit, which a request with its body counts against. The settings' own ceiling
             # is kept here too: what is past it never reaches the module.
-            log.warning("too many requests open", most=self._config.most_open)
+            self._warn.warning("too many requests open", most=self._config.most_open, here=len(client.open))
             self._core.counts["answers", "refused"] += 1
             pause = self._core.settings.max_retry_after
             client.outbox.put(_reply(call.seq, Answer("refused", retry_after=pause)))
             return
+        self._active += not client.open
         scope = client.open[call.seq] = anyio.CancelScope()
-        self._open += 1
+        self._traces.add(ask.trace)
         tasks.start_soon(self._request, client, call.seq, ask, scope)
 
+    def _crowded(self, client: _Client) -> bool:
+        """Past half of what may be open each client has an even share of the whole, and at least one."""
+        most, here = self._config.most_open, len(client.open)
+        if len(self._traces) >= most or self._unread.size > self._config.most_unread:
+            return True
+        return len(self._traces) >= most / 2 and here > 0 and here >= most / max(1, self._active)
+
     def _ask(self, fields: Mapping[str, str], body: bytes, arrived: float) -> Ask:
         def number(name: str, least: int, most: int) -> int:
             text = fields.get(name, "")
@@ -220,30 +300,50 @@
         if route not in self._classes:
             raise BadFields(f"'route' names no class: {route[:20]!r}")
         klass = self._classes[route]
-        tag = fields.get("seen", "")
-        return Ask(
-            trace=name("trace"),
+        tag, trace = fields.get("seen", ""), name("trace")
+        if "seen" in fields and not TAG.fullmatch(tag):
+            raise BadFields(f"'seen' must be a tag, not {tag[:20]!r}")
+        if fields.get("redo", "1") != "1":
+            raise BadFields(f"'redo' must be 1 or absent, not {fields['redo'][:20]!r}")
+        if len(body) > MOST_WRITE:
+            raise BadFields(f"a body of {len(body)} bytes, {MOST_WRITE} at most")
+        settings = self._core.settings.classes[klass]
+        # Guards the time that a request may hold memory: nobody waits past the class's own deadline.
+        patience = number("patience", 1, math.ceil(2000 * settings.deadline)) / 1000
+        ask = Ask(
+            trace=trace,
             klass=klass,
             object=int(name("entity"), 16),
-            part=number("slice", 0, 1 << 32) if "slice" in fields else None,
-            group=number("set", 0, 255) if "set" in fields else 0,
-            due=arrived + max(0.001, number("patience", 0, 10**9) / 1000 - DUE_MARGIN),
-            repeat=fields.get("redo") == "1",
-            write=self._core.settings.classes[klass].never_kept,
-            tag=tag if tag.isascii() and tag.isalnum() else "",
+            part=number("slice", 0, MOST_PART),
+            group=number("set", 0, 255),
+            due=arrived + max(0.001, patience - DUE_MARGIN),
+            repeat="redo" in fields,
+            write=settings.never_kept,
+            tag=tag,
             body=body,
         )
+        if trace in self._traces:
+            # Guards every request against another's answer: an id names one request at the caches too.
+            raise BadFields(f"'trace' is the id of a request that is open: {trace}")
+        return ask
 
     async def _request(self, client: _Client, seq: int, ask: Ask, scope: anyio.CancelScope) -> None:
         try:
+            if scope.cancel_called or client.scope.cancel_called:
+                return  # taken back, or its client turned away, before it began: the module never hears of it
             with scope:
-                client.outbox.put(_reply(seq, await self._core.serve(ask)))
+                answer = await self._core.serve(ask)
+                if client.open.get(seq) is scope:  # else it was withdrawn meanwhile: no answer is owed
+                    client.taken_back = 0
+                    client.outbox.put(_reply(seq, answer))
         except Exception:
             log.exception("request failed", trace=ask.trace)  # the process and its other requests go on
             client.outbox.put(thrift.thrown("handle", seq, 2, {}))
         finally:
-            del client.open[seq]
-            self._open -= 1
+            if client.open.pop(seq, None) is not None:
+                self._active -= not client.open
+            client.used_at = anyio.current_time()
+            self._traces.discard(ask.trace)
             client.room.set()
             self._changed.set()
 
--- a/zincladder/net/feed.py
+++ b/zincladder/net/feed.py
@@ -24,9 +24,9 @@
 STATES = (api.State.READY, api.State.DRAINING, api.State.GONE)
 STATE_NAMES = {"up": api.State.READY, "draining": api.State.DRAINING, "removed": api.State.GONE}
 MOST_FRAME = 1 << 22
-SILENCE = 2.5  # an empty frame follows each second
-CONNECT_LIMIT = 1.0
-RETRY = (0.05, 1.0)  # seconds between tries, doubled from the first to the second
+SILENCE = 1.6  # an empty frame follows each second
+CONNECT_LIMIT = 0.5
+RETRY = (0.05, 0.4)  # seconds between tries, doubled from the first to the second
 log = structlog.get_logger()
 
 
@@ -117,19 +117,28 @@
     def __init__(self, coordinator: Address, last: int, tell: Callable[[News], None]) -> None:
         self._coordinator, self.last, self._tell = coordinator, last, tell
         self.connected = False
+        self._turn = anyio.CancelScope()
+        self._pause = RETRY[0]
+
+    def follow(self, coordinator: Address) -> None:
+        """Goes on at another address, from the last event: the old one tells nothing more."""
+        if coordinator != self._coordinator:
+            self._coordinator, self._pause = coordinator, RETRY[0]
+            self._turn.cancel()
 
     async def run(self) -> None:
-        pause = RETRY[0]
         while True:
-            try:
-                await self._follow()
-            except (Ended, OSError, TimeoutError) as fault:
-                if self.connected:
-                    pause = RETRY[0]
-                self.connected = False
-                log.warning("coordinator lost", why=str(fault) or type(fault).__name__, last=self.last)
-            await anyio.sleep(pause)
-            pause = min(2 * pause, RETRY[1])
+            with anyio.CancelScope() as self._turn:
+                try:
+                    await self._follow()
+                except (Ended, OSError, TimeoutError) as fault:
+                    if self.connected:
+                        self._pause = RETRY[0]
+                    log.warning("coordinator lost", why=str(fault) or type(fault).__name__, last=self.last)
+                finally:
+                    self.connected = False
+                await anyio.sleep(self._pause)
+                self._pause = min(2 * self._pause, RETRY[1])
 
     async def _follow(self) -> None:
         with anyio.fail_after(CONNECT_LIMIT):
--- a/zincladder/net/stream.py
+++ b/zincladder/net/stream.py
@@ -13,6 +13,7 @@
 
 Part = bytes | bytearray | memoryview
 FIRST_BUFFER = 8192
+STEP = 1 << 16  # room made for a body that has not come yet
 MOST_PARTS = 64  # of one gathered write; the system takes 1,024
 GONE = (errno.ECONNRESET, errno.EPIPE, errno.ETIMEDOUT, errno.EBADF, errno.ENOTCONN, errno.ECONNABORTED)
 
@@ -91,13 +92,15 @@
 
     async def exactly(self, size: int) -> bytearray:
         """The next `size` bytes; what is not here yet is received straight into its place."""
-        body = bytearray(size)
-        with memoryview(body) as view:
-            have = min(size, self.buffered())
-            view[:have] = memoryview(self._buffer)[self._start : self._start + have]
-            self._start += have
-            while have < size:
-                have += await self._recv(view[have:])
+        have = min(size, self.buffered())
+        body = self._buffer[self._start : self._start + have]
+        self._start += have
+        while have < size:
+            # Guards the memory against a length that is only claimed: room is made as the bytes come.
+            body.extend(bytes(min(size - have, max(STEP, have))))
+            with memoryview(body) as view:
+                while have < len(body):
+                    have += await self._recv(view[have:])
         return body
 
 
@@ -113,11 +116,21 @@
         self.done: Callable[[], None] | None = None
 
 
+class Tally:
+    """Bytes that wait in several outboxes together."""
+
+    __slots__ = ("size",)
+
+    def __init__(self) -> None:
+        self.size = 0
+
+
 class Outbox:
     """Messages to one peer, in order. One that has begun is written whole or the connection ends."""
 
-    def __init__(self, sock: socket.socket) -> None:
+    def __init__(self, sock: socket.socket, tally: Tally | None = None) -> None:
         self._sock = sock
+        self._tally = tally or Tally()
         self._queue: deque[Entry] = deque()
         self._news = anyio.Event()
         self.ended: Ended | None = None
@@ -133,35 +146,47 @@
         entry = Entry(parts, may_go)
         entry.done = done
         self._queue.append(entry)
-        self.size += sum(map(len, entry.parts))
+        self._grow(sum(map(len, entry.parts)))
         if len(self._queue) == 1:
             self._flush()
         if self._queue:
             self._news.set()
         return entry
 
+    def _grow(self, change: int) -> None:
+        self.size += change
+        self._tally.size += change
+
+    def forget(self) -> None:
+        """The connection has ended: what still waits will not be written."""
+        self._queue.clear()
+        self._grow(-self.size)
+
     def drop(self, entry: Entry) -> bool:
         """Takes back a message of which no byte was written; False if one was."""
         if entry.begun:
             return False
         if entry in self._queue:
             self._queue.remove(entry)
-            self.size -= sum(map(len, entry.parts))
+            self._grow(-sum(map(len, entry.parts)))
         return True
 
     def _flush(self) -> None:
         while self._queue and not self.ended:
             parts: list[memoryview] = []
-            for entry in list(self._queue):
+            turned: list[Entry] = []
+            for entry in self._queue:
                 if not entry.begun and entry.may_go and not entry.may_go():
-                    entry.refused = True  # told otherwise since it was queued
-                    self.drop(entry)
-                    if entry.done:
-                        entry.done()
+                    turned.append(entry)
                     continue
                 if parts and len(parts) + len(entry.parts) > MOST_PARTS:
                     break
                 parts.extend(entry.parts)
+            for entry in turned:
+                entry.refused = True  # told otherwise since it was queued
+                self.drop(entry)
+                if entry.done:
+                    entry.done()
             if not parts:
                 continue
             try:
@@ -174,7 +199,7 @@
             self._sent(sent)
 
     def _sent(self, sent: int) -> None:
-        self.size -= sent
+        self._grow(-sent)
         while self._queue:
             entry = self._queue[0]
             while entry.parts and sent:
--- a/zincladder/net/thrift.py
+++ b/zincladder/net/thrift.py
@@ -23,7 +23,7 @@
     15,
 )
 UNKNOWN_METHOD, INTERNAL_ERROR, PROTOCOL_ERROR = 1, 6, 7
-MOST_FRAME = 1 << 20  # a write brings 48,000 bytes at most
+MOST_FRAME = 1 << 16  # a write brings 48,000 bytes at most
 MOST_NESTED = 16
 _FIXED = {BOOL: 1, BYTE: 1, DOUBLE: 8, I16: 2, I32: 4, I64: 8}
 _I32, _HEAD = struct.Struct(">i"), struct.Struct(">Ii")
