Give each request a cache connection of its own and drop answers that break off

Logs: 10 to 22 connections a front ended as garbled, each with all that was open on it; a body that stopped short held its connection, and every request sent on it, until the module's patience ran out.

At fault: Caches._usable filled one connection to its limit of streams before another was opened; _Link._read waited for the rest of an answer without end; Router._judge counted errors and resets as failures of the cache, against the design, so that spoilt answers and bad clients' requests left caches out.

Changed: a request takes a connection with nothing open on it while descriptors allow, connections come up side by side; 0.3 s without a byte inside an answer ends its connection; fields, lengths and kinds of an answer are checked in full; an id is used once on a connection, so a second copy finds nobody. In the module errors and resets set no cache aside, a cut request asks its own cache once more, and two errors end a request.

--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -22,6 +22,7 @@
     Client,
     Coordinator,
     Fetch,
+    Reply,
     Script,
     StubCache,
     client,
@@ -488,3 +489,112 @@
             process.send_signal(signal.SIGTERM)
             assert await anyio.to_thread.run_sync(process.wait) == 0
         tasks.cancel_scope.cancel()
+
+
+@pytest.mark.parametrize(
+    "part", [b"", b"%s 200 tell=lo", b"%s 200 - 600\r\nabc", b"%s 200 since=x 1\r\na\r\n", b"\xff\r\n"]
+)
+async def test_a_spoilt_answer_costs_its_own_request_an_attempt_and_no_other_anything(part: bytes) -> None:
+    # guards the other requests at that cache, and a request whose answer stops short on an open connection
+    gate, spoilt = anyio.Event(), anyio.Event()
+
+    async def script(cache: StubCache, fetch: Fetch) -> None:
+        if fetch.fields["chunk"] == "7":
+            await gate.wait()
+        elif not spoilt.is_set():
+            spoilt.set()
+            await fetch.stream.send(part.replace(b"%s", fetch.name.encode()) or b"200 " * 600)
+            return
+        await serve(cache, fetch)
+
+    async with world(script) as w, client(w) as c:
+        cache = w.caches[0]
+        await c.ask(patience="1100", slice="7")
+        while not cache.fetches:
+            await cache.came.wait()
+        seq = await c.ask(patience="1100")
+        assert (await c.reply()) == Reply(seq, "served", ITEM, good=True)
+        gate.set()
+        assert (await c.reply()).body == ITEM
+        assert [f.fields["chunk"] for f in cache.fetches] == ["7", "0", "0"]
+
+
+async def test_a_second_copy_of_an_answer_is_not_taken_for_that_of_the_next_attempt() -> None:
+    # guards a booking: taken for the second attempt's, the copy of 'it never ran' would make it run twice
+    first: list[Fetch] = []
+
+    async def script(cache: StubCache, fetch: Fetch) -> None:
+        if not first:
+            first.append(fetch)
+            await fetch.answer(404)
+            return
+        with contextlib.suppress(anyio.BrokenResourceError, anyio.ClosedResourceError):
+            await first[0].answer(404)
+            await first[0].answer(404)
+        await fetch.stream.send(b"")
+        await fetch.answer(200, "tell=local", b"done")
+
+    async with world(serve, origin=script) as w, client(w) as c:
+        await c.ask(b"order", route="booking")
+        assert (await c.reply()).body == b"done" and len(w.caches[-1].fetches) == 2
+
+
+async def test_an_id_that_is_open_is_not_passed_on_a_second_time() -> None:
+    async with world(hold) as w, client(w) as usual, client(w) as other:
+        await usual.ask(trace="ab" * 8)
+        while not w.caches[0].fetches:
+            await w.caches[0].came.wait()
+        await other.ask(trace="ab" * 8, entity=f"{5:016x}")
+        assert (await other.reply()).kind == "application"
+        assert len(w.caches[0].fetches) == 1
+
+
+@pytest.mark.parametrize("withdrawn", [True, False])
+async def test_hundreds_of_requests_at_once_are_turned_away_and_none_is_passed_on(withdrawn: bool) -> None:
+    async with world(serve) as w, client(w) as bad, client(w) as usual:
+        frames = []
+        for n in range(1, 301):
+            said = {
+                "route": "page",
+                "trace": f"{n:016x}",
+                "patience": "2000",
+                "entity": KEY,
+                "slice": "0",
+                "set": "1",
+            }
+            args = b"\x0d\0\1" + thrift._texts(said) + b"\x0b\0\2\0\0\0\0\0"
+            frames.append(thrift._message(thrift.CALL, "handle", n) + args)
+            if withdrawn:
+                back = b"\x08\0\1" + struct.pack(">i", n) + b"\0"
+                frames.append(thrift._message(thrift.ONEWAY, "withdraw", n) + back)
+        with contextlib.suppress(anyio.BrokenResourceError):
+            await bad.stream.send(b"".join(struct.pack(">i", len(f)) + f for f in frames))
+        with pytest.raises((anyio.EndOfStream, anyio.BrokenResourceError)), anyio.fail_after(5):
+            while True:
+                await bad.stream.receive()
+        await usual.ask()
+        assert (await usual.reply()).kind == "served"
+        assert len(w.caches[0].fetches) == 1
+
+
+@pytest.mark.parametrize("data", [b"", b"\0\0\1", struct.pack(">i", 60_000) + bytes(400)])
+async def test_a_connection_that_says_no_whole_message_is_closed(
+    data: bytes, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr("zincladder.net.clients.FIRST", 0.05)
+    async with world(hold) as w, client(w) as usual, client(w) as silent:
+        await usual.ask(patience="800")
+        if data:
+            await silent.stream.send(data)
+        with pytest.raises((anyio.EndOfStream, anyio.BrokenResourceError)), anyio.fail_after(5):
+            await silent.stream.receive()
+        assert (await usual.reply()).kind == "Throttled"  # it had spoken: its connection was kept
+
+
+@pytest.mark.parametrize(
+    "fields", [{"patience": "0"}, {"patience": "99999999"}, {"seen": "a b"}, {"set": "256"}, {"redo": "7"}]
+)
+async def test_figures_out_of_range_are_not_passed_on(fields: dict[str, str]) -> None:
+    async with world(serve) as w, client(w) as c:
+        await c.ask(**fields)
+        assert (await c.reply()).kind == "application" and not w.caches[0].fetches
--- a/zincladder/decide.py
+++ b/zincladder/decide.py
@@ -27,10 +27,11 @@
 REPORTS_LEAST = 3  # before they are gone by: one alone is noise
 CORES_STEPS = (0.02, 0.1)  # weight of a report that tells of more cores, and of fewer: rather too few
 TRIES = 4  # attempts of one request: enough for a few dead members, too few to feed an overload
+ERRORS = 2  # after so many a request cannot be used anywhere: members' own errors are rare
 KEEP = 1  # the one rank of all kept copies: with a single rank every cache is a plain LRU
 COLD_SHARE = 0.5  # of what pushes a cold member over: half is left to routers that are not told yet
 MEMORY = 0.3  # weight of the newest outcome in a member's failing share
-OFF_AT = 0.6  # failing share that takes a member off: three failures in a row, or most of many
+OFF_AT = 0.6  # failing share that takes a member off: three silences in a row, or most of many
 OFF_PART = 0.5  # of a ring that judgement may set aside: a fault of the location must not empty it
 TRIAL = 2.0  # seconds between trial requests: each may cost one request its patience
 PATIENCE = 1.5  # of a class's base aim: a cache that says nothing at all for longer is silent
@@ -42,6 +43,7 @@
 
 SOURCE_FAULTS = (api.Note.SOURCE_REFUSED, api.Note.SOURCE_FAILED)
 BLAMES_SOURCE = (*SOURCE_FAULTS, api.Note.SOURCE_LACKS, api.Note.ORIGIN_FAILED)
+OWN_FAULT = (api.Result.ERROR, api.Result.RESET)  # the request's, or its connection's: not the member's
 NEVER_RAN = (api.Result.REFUSED, api.Result.UNREACHABLE, api.Result.UNSENT, api.Result.MISS)
 
 
@@ -113,6 +115,8 @@
     joins: bool = False  # a fill of what is wanted is under way at the cache
     stale: bool = False  # the origin failed: a copy past its fresh time will do, where the class allows it
     may_have_run: list[float] = field(default_factory=list)  # when those attempts were sent
+    spoilt: set[api.MemberId] = field(default_factory=set)  # whose answer was cut off once
+    errors: int = 0
 
 
 class Router:
@@ -419,8 +423,14 @@
             blamed = attempt.source if event.note in BLAMES_SOURCE else attempt.cache
             job.joins = event.result is api.Result.MISS and event.note is api.Note.JOINED
             looked = event.result is api.Result.MISS and attempt.source == attempt.cache
-            if not looked and not job.klass.never_kept:
+            # Guards what is kept: connections are lost at any cache alike, so its own is asked once more.
+            cut = event.result is api.Result.RESET and blamed not in job.spoilt
+            job.spoilt |= {blamed} if cut else set()
+            if not looked and not cut and not job.klass.never_kept:
                 job.tried.add(blamed)
+            job.errors += event.result is api.Result.ERROR
+            if job.errors >= ERRORS:
+                return self._give_up(job)
             # Guards the origin: another parent would ask the same origin, so only a stale copy is tried.
             own = event.note in SOURCE_FAULTS and attempt.source == self.origin
             lost = own or event.note is api.Note.ORIGIN_FAILED
@@ -467,7 +477,8 @@
             self._mark(server, False, now)
         if event.result is api.Result.TIMED_OUT and cache and cache.heard_at > attempt.sent_at:
             return  # slow, not silent
-        self._mark(cache, event.result not in (api.Result.OK, api.Result.MISS), now)
+        if event.result not in OWN_FAULT:
+            self._mark(cache, event.result not in (api.Result.OK, api.Result.MISS), now)
 
     def _time(self, attempt: Attempt, latency: float) -> None:
         """Guards the guards: with sizes untold, all sending times were 0 and no link or cold member spared.
--- a/zincladder/net/caches.py
+++ b/zincladder/net/caches.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+import re
 import socket
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
@@ -12,21 +13,23 @@
 from anyio.abc import TaskGroup
 
 from zincladder import interface as api
-from zincladder.config import REPORTS, Address, Config
+from zincladder.config import BODY, REPORTS, Address, Config
 from zincladder.core.ends import End, How
 from zincladder.core.engine import Order
+from zincladder.net.sparing import Sparing
 from zincladder.net.stream import Ended, Entry, Inbox, Outbox, connect
 
-MOST_HEAD = 4096
-MOST_BODY = 1 << 20  # an object's part has 240,000 bytes at most
+MOST_HEAD = 2048
+MOST_BODY = BODY
 IDLE_SHARE = 0.7  # of the caches' own idle time: this side closes first, so that no request crosses a close
-CACHES_SHARE = 0.4  # of the descriptors
+CACHES_SHARE = 0.33  # of the descriptors
 PROBE_LIMIT = 1.0  # seconds for the answer to a probe
 STALL = 10.0
+BROKEN_OFF = 0.3  # seconds without a byte inside an answer: those come in one piece, in under 50 ms
 SILENT_AFTER = (
     0.8  # seconds without a byte from a member that owes an answer: its connection is not used again
 )
-GIVEN_UP_MOST = 256  # ids on one connection whose answers may still come
+NAMES_FOR = 10.0  # seconds for which an id is not used again on its connection, past the longest deadline
 CONNECT_LIMIT = 0.4  # where the settings name none
 ENDS = {
     b"200": How.SERVED,
@@ -55,6 +58,7 @@
         )
     )
 }
+FIELD = re.compile(r"[a-z_]{1,16}", re.ASCII)
 log = structlog.get_logger()
 
 
@@ -62,6 +66,8 @@
 class _Waiting:
     """One request or probe that is open on a connection."""
 
+    probe: bool
+    tagged: bool  # the request named a copy that the client holds
     news: anyio.Event = field(default_factory=anyio.Event)
     entry: Entry | None = None
     end: End | None = None
@@ -72,14 +78,6 @@
             self.news.set()
 
 
-@dataclass(slots=True, eq=False)
-class _Opening:
-    """A connection that is coming up, for all who wait for it."""
-
-    news: anyio.Event = field(default_factory=anyio.Event)
-    fault: OSError | None = None
-
-
 class _Link:
     """One connection to a member: many requests, answers in any order."""
 
@@ -87,7 +85,7 @@
         self.sock, self._names = sock, report_names
         self.inbox, self.outbox = Inbox(sock), Outbox(sock)
         self.open: dict[bytes, _Waiting] = {}
-        self.given_up: set[bytes] = set()  # their answers may still come, so the ids are not used again
+        self.names: dict[bytes, float] = {}  # used here lately: a second answer to one must find nobody
         self.closed = self.retired = False
         self.used_at = anyio.current_time()
         self.scope = anyio.CancelScope()
@@ -118,7 +116,9 @@
 
     async def _read(self) -> None:
         while True:
-            line = await self.inbox.line(MOST_HEAD)
+            await self.inbox.some()
+            # Guards all that is open here against an answer that stops short: nothing after it can be read.
+            line = await self.inbox.line(MOST_HEAD, BROKEN_OFF)
             if not line:
                 continue
             words = line.split(b" ")
@@ -132,36 +132,47 @@
                 length = int(words[3])
             body = bytearray()
             if length:
-                body = await self.inbox.exactly(length)
-                if await self.inbox.exactly(2) != b"\r\n":
+                body = await self.inbox.exactly(length, BROKEN_OFF)
+                if await self.inbox.exactly(2, BROKEN_OFF) != b"\r\n":
                     raise Ended(How.GARBLED, "a body without its end")
             self.used_at = anyio.current_time()
-            waiting = self.open.pop(words[0], None)
-            if waiting is not None:
-                waiting.finish(self._end(words[1], fields, body))
-            elif words[0] in self.given_up:
-                self.given_up.discard(words[0])
-            else:
-                log.warning("answer that nobody asked for", id=words[0][:40].decode("latin-1"))
-
-    def give_up(self, name: bytes) -> None:
-        """Guards against a late answer: its id is not used again here until that answer has come."""
-        self.given_up.add(name)
-        self.retired |= len(self.given_up) > GIVEN_UP_MOST
+            waiting = self.open.get(words[0])
+            if waiting is None:
+                continue  # late, a second copy, or an answer ahead: nobody's here, nor taken for another's
+            waiting.finish(
+                self._end(words[1], fields, body, waiting)
+            )  # if spoilt, it ends as all others here
+            del self.open[words[0]]
+
+    def take(self, name: bytes) -> None:
+        """Guards against a late answer or a second copy: an id is used once on a connection."""
+        now = anyio.current_time()
+        self.names[name] = now
+        while (first := next(iter(self.names))) != name and self.names[first] < now - NAMES_FOR:
+            del self.names[first]
 
     def settle(self) -> None:
         """Ends a connection that is not used again once nothing is open on it."""
         if self.retired and not self.open:
             self.scope.cancel()
 
-    def _end(self, word: bytes, raw: bytes, body: bytearray) -> End:
+    def _end(self, word: bytes, raw: bytes, body: bytearray, waiting: _Waiting) -> End:
+        """The answer, checked in full: Ended where a part of it cannot be what the member meant."""
         fields: dict[str, str] = {}
         if raw != b"-":
             for pair in raw.decode("latin-1").split(","):
-                name, _, value = pair.partition("=")
+                name, equals, value = pair.partition("=")
+                if not equals or not FIELD.fullmatch(name) or not value.isprintable():
+                    raise Ended(How.GARBLED, f"a field that is none: {pair[:40]!r}")
                 fields[name] = value
+        how = ENDS[word]
+        fits = (word in (b"alive", b"dead")) == waiting.probe and (how is not How.SAME or waiting.tagged)
+        if not fits or (body and how is not How.SERVED):
+            raise Ended(How.GARBLED, f"{word.decode()} with {len(body)} bytes is no answer to what was asked")
+        if not fields.get("since", "0").isdigit() or fields.get("tell", "local") not in NOTES:
+            raise Ended(How.GARBLED, f"fields that cannot be read: {raw[:60]!r}")
         note = NOTES.get(fields.get("tell", ""), api.Note.NONE)
-        return End(ENDS[word], body, note, self._report(fields.get("meter", "")), fields)
+        return End(how, body, note, self._report(fields.get("meter", "")), fields)
 
     def _report(self, text: str) -> tuple[float, ...]:
         """The load report in the order of the settings; nothing when a figure is missing."""
@@ -189,9 +200,9 @@
         self._class_names = config.names.classes
         self._addresses: dict[api.MemberId, Address] = {}
         self._links: dict[api.MemberId, list[_Link]] = {}
-        self._opening: dict[api.MemberId, _Opening] = {}
         self._tasks: TaskGroup | None = None
-        self._count = 0
+        self._count = 0  # connections, with those that are coming up
+        self._warn = Sparing()
         self._probes = 0
 
     async def run(self) -> None:
@@ -256,7 +267,8 @@
 
     async def _exchange(self, link: _Link, name: bytes, parts: Sequence[bytes], order: Order | None) -> End:
         """One message and the wait for its answer; cancelled, it is given up on the wire too."""
-        waiting = link.open[name] = _Waiting()
+        waiting = link.open[name] = _Waiting(order is None, order is not None and bool(order.ask.tag))
+        link.take(name)
         began, received = anyio.current_time(), link.inbox.received
         entry = waiting.entry = link.outbox.put(parts, order.may_go if order else None)
         try:
@@ -269,7 +281,6 @@
             if waiting.end is None:
                 link.open.pop(name, None)
                 if not link.closed and not link.outbox.drop(entry):
-                    link.give_up(name)
                     if order is not None:
                         link.outbox.put([b"abort " + name + b"\r\n"])
                     # Guards against a machine that is cut off: its connection stays up and silent, and only a
@@ -306,61 +317,64 @@
         return [head, ask.body, b"\r\n"]
 
     async def _link(self, member: api.MemberId, name: bytes) -> _Link:
-        """A connection with room for one more of that id, opened where there is none."""
-        if found := self._usable(member, name):
-            return found
-        while (opening := self._opening.get(member)) is not None:
-            # Guards against a queue at a member that does not come up: all who wait share one outcome.
-            await opening.news.wait()
-            if opening.fault is not None:
-                raise opening.fault
-            if found := self._usable(member, name):
-                return found
-        opening = self._opening[member] = _Opening()
-        try:
-            return await self._open(member)
-        except (OSError, TimeoutError) as fault:
-            opening.fault = OSError(str(fault) or "no connection in time")
-            raise opening.fault from fault
-        finally:  # when this request was withdrawn meanwhile, one of those who wait opens in its place
-            del self._opening[member]
-            opening.news.set()
-
-    async def _open(self, member: api.MemberId) -> _Link:
-        if self._count >= self._config.sockets * CACHES_SHARE:
-            self._make_room()
+        """A connection with nothing else open on it where the descriptors allow, else the least busy one.
+
+        Guards each request against what happens to others: one spoilt answer or reset ends all that is open
+        on its connection. All that wait for a member that does not come up wait at the same time.
+        """
+        usable = self._usable(member, name)
+        if usable and not usable.open:
+            return usable
+        if self._count >= self._config.sockets * CACHES_SHARE and not self._make_room():
+            if usable:
+                return usable
+            raise OSError("no descriptor is left for one more connection")
         where = self._addresses.get(member)
         if where is None:
             raise OSError("the member is gone")
-        with anyio.fail_after(self._config.settings.connect_timeout or CONNECT_LIMIT):
-            sock = await connect(*where)
+        self._count += 1
+        try:
+            with anyio.fail_after(self._config.settings.connect_timeout or CONNECT_LIMIT):
+                sock = await connect(*where)
+        except BaseException:
+            self._count -= 1
+            raise
         link = _Link(sock, self._names)
         self._links.setdefault(member, []).append(link)
-        self._count += 1
         assert self._tasks is not None
         self._tasks.start_soon(self._keep, member, link)
         return link
 
     def _usable(self, member: api.MemberId, name: bytes) -> _Link | None:
+        """The one with the least open on it; of those with nothing, the one used last, so that others end."""
+        best: _Link | None = None
         for link in self._links.get(member, ()):
-            full = len(link.open) >= self._config.streams or name in link.open or name in link.given_up
-            if not (link.closed or link.retired or link.scope.cancel_called or link.outbox.ended or full):
-                return link
-        return None
+            full = len(link.open) >= self._config.streams or name in link.names
+            if link.closed or link.retired or link.scope.cancel_called or link.outbox.ended or full:
+                continue
+            if best is None or (len(link.open), -link.used_at) < (len(best.open), -best.used_at):
+                best = link
+        return best
 
-    def _make_room(self) -> None:
+    def _make_room(self) -> bool:
         """Guards the descriptors: the connection that was idle longest makes room."""
-        idle = [link for links in self._links.values() for link in links if not link.open and not link.closed]
-        if not idle:
-            raise OSError("no descriptor is left for one more connection")
-        min(idle, key=lambda link: link.used_at).scope.cancel()
+        idle = [
+            link
+            for links in self._links.values()
+            for link in links
+            if not (link.open or link.closed or link.scope.cancel_called)
+        ]
+        if idle:
+            min(idle, key=lambda link: link.used_at).scope.cancel()
+        return bool(idle)
 
     async def _keep(self, member: api.MemberId, link: _Link) -> None:
         end = await link.run()
         self._count -= 1
         links = self._links[member]
         links.remove(link)
-        if not links and member not in self._addresses:
+        if not links:
             del self._links[member]
         if end.how in (How.GARBLED, How.STALLED):
-            log.warning("cache connection ended", member=member.decode(), how=end.how.name, why=end.why)
+            name = member.decode()
+            self._warn.warning("cache connection ended", member=name, how=end.how.name, why=end.why)
--- a/zincladder/net/stream.py
+++ b/zincladder/net/stream.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import errno
+import math
 import socket
 from collections import deque
 from collections.abc import Callable, Sequence
@@ -38,13 +39,19 @@
     def buffered(self) -> int:
         return self._end - self._start
 
-    async def _recv(self, into: memoryview) -> int:
+    async def _recv(self, into: memoryview, patience: float = math.inf) -> int:
         while True:
             try:
                 got = self._sock.recv_into(into)
             except (BlockingIOError, InterruptedError):
                 try:
-                    await anyio.wait_readable(self._sock)
+                    if patience < math.inf:
+                        with anyio.fail_after(patience):
+                            await anyio.wait_readable(self._sock)
+                    else:
+                        await anyio.wait_readable(self._sock)
+                except TimeoutError:
+                    raise Ended(How.GARBLED, "a message that broke off") from None
                 except (OSError, ValueError, anyio.ClosedResourceError):
                     raise Ended(How.CUT) from None
                 continue
@@ -55,7 +62,7 @@
             self.received += got
             return got
 
-    async def _more(self, most: int) -> None:
+    async def _more(self, most: int, patience: float = math.inf) -> None:
         """Reads on, making room first: the unread part moves to the front or the buffer grows."""
         if self._start == self._end:
             self._start = self._end = 0
@@ -69,15 +76,15 @@
             else:
                 self._buffer.extend(bytes(len(self._buffer)))
         with memoryview(self._buffer) as view:
-            self._end += await self._recv(view[self._end :])
+            self._end += await self._recv(view[self._end :], patience)
 
     async def some(self) -> None:
         """Waits until a byte is here and takes none: cancelling it loses nothing."""
         if not self.buffered():
             await self._more(FIRST_BUFFER)
 
-    async def line(self, most: int) -> bytes:
-        """The next line without its CR LF."""
+    async def line(self, most: int, patience: float = math.inf) -> bytes:
+        """The next line without its CR LF; `patience` is for a stretch without a byte."""
         seen = 0
         while True:
             at = self._buffer.find(b"\r\n", self._start + seen, self._end)
@@ -88,9 +95,9 @@
             seen = max(0, self.buffered() - 1)
             if seen >= most:
                 raise Ended(How.GARBLED, f"a line of over {most} bytes")
-            await self._more(2 * most)
+            await self._more(2 * most, patience)
 
-    async def exactly(self, size: int) -> bytearray:
+    async def exactly(self, size: int, patience: float = math.inf) -> bytearray:
         """The next `size` bytes; what is not here yet is received straight into its place."""
         have = min(size, self.buffered())
         body = self._buffer[self._start : self._start + have]
@@ -100,7 +107,7 @@
             body.extend(bytes(min(size - have, max(STEP, have))))
             with memoryview(body) as view:
                 while have < len(body):
-                    have += await self._recv(view[have:])
+                    have += await self._recv(view[have:], patience)
         return body
 
 
