--- a/zincladder/metrics/registry.py
+++ b/zincladder/metrics/registry.py
@@ -9,7 +9,7 @@
 
 # Counters of the core by their group: the metric's name, its label and its help line.
 COUNTERS = {
-    "answers": ("zincladder_answers_total", "kind", "Final answers: served, refused, failed or withdrawn."),
+    "answers": ("zincladder_answers_total", "kind", "Answers: served, refused, failed, withdrawn, unusable."),
     "attempts": ("zincladder_attempts_total", "end", "Attempts at members by how they ended."),
     "probes": ("zincladder_probes_total", "end", "Load probes by how they ended."),
     "clients": ("zincladder_client_connections_total", "event", "Client connections taken."),
