Let an error that nobody thought of cost one connection, not the process

Checked by reading: an exception other than a connection's own end left the task of a client, a cache connection, a probe or the feed, and with it the process; after SIGTERM that is not told as a crash, only as lost requests. Each of these now logs it and ends alone; the feed goes on. Tests: a fault in reading a call, in checking an answer and in a probe; the bystander is served.

--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -8,6 +8,7 @@
 from typing import Any
 
 import anyio
+import anyio.lowlevel
 import pytest
 
 from tests.conftest import FLEET, cache, settings
@@ -145,10 +146,22 @@
         await c.carrier.until(lambda: c.answer is not None and c.answer.kind == "served")
 
 
-async def fault(order: Order) -> End:
+async def fault(order: object) -> End:
     raise ZeroDivisionError
 
 
+async def test_a_fault_in_a_probe_ends_it_and_no_attempt() -> None:
+    async with case() as (c, _):
+        c.carrier.probe = fault  # type: ignore[method-assign, assignment]
+        c.core._probes.append(b"cache1")
+        with anyio.fail_after(5):
+            while not c.core.counts["probes", "silent"]:
+                await anyio.lowlevel.checkpoint()
+        c.carrier.end(0, How.SERVED)
+        await c.carrier.until(lambda: c.answer is not None)
+        assert c.answer and c.answer.kind == "served"
+
+
 @pytest.mark.parametrize("state", [api.State.DRAINING, api.State.GONE])
 @pytest.mark.parametrize("as_source", [False, True])
 async def test_what_was_told_after_the_decision_holds_at_the_send(state: api.State, as_source: bool) -> None:
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -626,3 +626,22 @@
             reply = await c.reply()
             assert (reply.seq, reply.kind, reply.fields["pause"]) == (seq, "Throttled", "1000")
         assert (await c.reply()).seq == 1 and len(w.caches[0].fetches) == 1
+
+
+async def test_a_fault_at_one_connection_ends_no_other(monkeypatch: pytest.MonkeyPatch) -> None:
+    # guards the process: an error that nobody thought of must cost one connection, to a client or a cache
+    async with world(serve) as w, client(w) as bystander:
+        await bystander.ask()
+        assert (await bystander.reply()).kind == "served"
+        with monkeypatch.context() as patch:
+            patch.setattr("zincladder.net.thrift.read_call", lambda data: 1 // 0)
+            async with client(w) as unlucky:
+                await unlucky.ask()
+                with pytest.raises((anyio.EndOfStream, anyio.BrokenResourceError)), anyio.fail_after(5):
+                    await unlucky.stream.receive()
+        with monkeypatch.context() as patch:
+            patch.setattr("zincladder.net.caches._Link._end", lambda *_: 1 // 0)
+            await bystander.ask(patience="500")
+            assert (await bystander.reply()).kind == "Throttled"
+        await bystander.ask()
+        assert (await bystander.reply()).kind == "served"
--- a/zincladder/core/engine.py
+++ b/zincladder/core/engine.py
@@ -373,6 +373,10 @@
 
     async def _probe(self, member: api.MemberId) -> None:
         started = self.clock.now()
-        end = await self.carrier.probe(member)
+        try:
+            end = await self.carrier.probe(member)
+        except Exception:  # guards all attempts, which share its task group
+            log.exception("probe failed", member=member.decode("latin-1"))
+            end = End(How.SILENT)
         self.counts["probes", end.how.name.lower()] += 1
         self._notify(api.ProbeEnded(member, end.result, self.clock.now() - started, end.report))
--- a/zincladder/net/caches.py
+++ b/zincladder/net/caches.py
@@ -378,7 +378,11 @@
         return bool(idle)
 
     async def _keep(self, member: api.MemberId, link: _Link) -> None:
-        end = await link.run()
+        try:
+            end = await link.run()
+        except Exception:  # guards all other connections: what goes wrong with one ends that one only
+            log.exception("cache connection failed", member=member.decode("latin-1"))
+            end = End(How.CUT)
         self._count -= 1
         links = self._links[member]
         links.remove(link)
--- a/zincladder/net/clients.py
+++ b/zincladder/net/clients.py
@@ -199,6 +199,8 @@
                         if end.how is How.GARBLED:
                             self._warn.warning("client ended", why=str(end), open=len(client.open))
                     client.end()  # the client is gone: nobody waits for what is open
+        except Exception:  # guards all other clients: what goes wrong with one ends its connection only
+            log.exception("client failed")
         finally:
             self._clients.discard(client)
             client.outbox.forget()
--- a/zincladder/net/feed.py
+++ b/zincladder/net/feed.py
@@ -135,6 +135,10 @@
                     if self.connected:
                         self._pause = RETRY[0]
                     log.warning("coordinator lost", why=str(fault) or type(fault).__name__, last=self.last)
+                except (
+                    Exception
+                ):  # guards drains and purges: whatever goes wrong, the coordinator is followed again
+                    log.exception("coordinator lost", last=self.last)
                 finally:
                     self.connected = False
                 await anyio.sleep(self._pause)
