End no connection that has just come or has a request open to make room for another

Ruled out: the caches (0 to 7 time-outs), memory (32 of 80 MB). At fault: Clients._make_room ended whatever had said nothing, so of a crowd also usual clients whose first request was on its way; and where all had requests open it ended the one with most. Changed: 0.1 s from connecting or the last answer a connection is left alone, one with a request open always; new ones wait in the system's queue, and are taken once the one that made room has closed (without that the descriptors stood at 384 of 384).

--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -645,3 +645,20 @@
             assert (await bystander.reply()).kind == "Throttled"
         await bystander.ask()
         assert (await bystander.reply()).kind == "served"
+
+
+async def test_a_crowd_ends_no_connection_that_has_just_come() -> None:
+    # guards the first request of a usual client, which is not read yet when the next hundred connect
+    async with world(serve, limits={"sockets": 16}) as w:
+        usual = [socket.create_connection(w.listening.clients) for _ in range(8)]
+        frame = thrift._message(thrift.CALL, "status", 1) + b"\x02\0\1\1\0"
+        for sock in usual:
+            sock.sendall(struct.pack(">i", len(frame)) + frame)
+        crowd = [socket.create_connection(w.listening.clients) for _ in range(40)]
+        for sock in usual:
+            sock.setblocking(False)
+            with anyio.fail_after(5):
+                await anyio.wait_readable(sock)
+            assert sock.recv(4096)  # an answer, not an end
+        for sock in usual + crowd:
+            sock.close()
--- a/zincladder/net/clients.py
+++ b/zincladder/net/clients.py
@@ -28,6 +28,7 @@
 FIRST = 2.2  # seconds from connecting to the first whole message: a close is owed within 3
 STALL = 2.2  # for the rest of a frame, or for a reader of answers, to move on
 IDLE = 5.0  # without a request; clients close after 4 s, and one that keeps its connection is closed here
+SETTLED = 0.1  # seconds for which a connection is left alone whatever the crowd
 SWEEP = 0.2  # seconds between two looks at these
 CLIENTS_SHARE = 0.55  # of the descriptors; usual clients hold a third
 TURN = 32  # messages of one client, or connections, taken before the other tasks have their turn
@@ -135,8 +136,18 @@
         self._listener.close()
 
     async def _admit(self, tasks: TaskGroup) -> None:
-        """Takes the connections that wait."""
+        """Takes the connections that wait, as far as there is room for them."""
         for taken in itertools.count(1):
+            most = max(1, int(self._config.sockets * CLIENTS_SHARE))
+            if len(self._clients) >= most:
+                if any(c.ended for c in self._clients):  # its descriptor is free only once it is closed
+                    await anyio.lowlevel.checkpoint()
+                elif not self._make_room():
+                    await anyio.sleep(
+                        0.005
+                    )  # they wait in the system's queue: nothing of theirs is lost there
+                    return
+                continue
             try:
                 sock, _ = self._listener.accept()
             except (BlockingIOError, InterruptedError):
@@ -145,8 +156,6 @@
                 self._warn.warning("accept failed", why=str(fault))
                 await anyio.sleep(0.01)
                 return
-            if len(self._clients) >= max(1, int(self._config.sockets * CLIENTS_SHARE)):
-                self._make_room()
             now = monotonic()
             client = _Client(sock, Inbox(sock), Outbox(sock, self._unread), now, now)
             self._clients.add(client)
@@ -154,27 +163,28 @@
             if taken % TURN == 0:
                 await anyio.lowlevel.checkpoint()
 
-    def _make_room(self) -> None:
+    def _make_room(self) -> bool:
         """Guards the descriptors: whoever said nothing longest goes first, then whoever is idle longest.
 
-        Where all have requests open, the one with the most loses them: a crowd must not keep others out.
+        Not a client that has just come or just been answered, whose request may be on its way or not read
+        yet; and never one with a request open, which would be lost.
         """
-        idle = [c for c in self._clients if not c.open and not c.outbox.size]
-        if idle:
-            client = min(idle, key=lambda c: (c.spoke, c.used_at))
-        else:
+        recent = monotonic() - SETTLED
+        idle = [c for c in self._clients if not c.open and not c.outbox.size and c.used_at < recent]
+        if not idle:
             self._warn.warning("too many clients", most=len(self._clients))
-            client = max(self._clients, key=lambda c: len(c.open))
-        self._clients.discard(client)
+            return False
+        client = min(idle, key=lambda c: (c.spoke, c.used_at))
         self._core.counts["client_ends", "crowded"] += 1
         client.end()
+        return True
 
     async def _sweep(self) -> None:
         """Ends connections that say nothing, stop inside a message, or are used no more."""
         while True:
             await anyio.sleep(SWEEP)
             now = monotonic()
-            for c in list(self._clients):
+            for c in [c for c in self._clients if not c.ended]:
                 if (c.frame_at and now - c.frame_at > STALL) or (not c.spoke and now - c.since > FIRST):
                     self._warn.warning("client sent no whole message", open=len(c.open))
                     self._core.counts["client_ends", How.STALLED.name.lower()] += 1
