--- /dev/null
+++ b/benchmarks/flood.py
@@ -0,0 +1,111 @@
+"""Floods, each in a process of its own: `python -m benchmarks.flood KIND HOST PORT SECONDS ADDRESSES`.
+
+Prints one JSON object at its end: connections made, requests sent, answers by kind, requests answered twice.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import os
+import random
+import sys
+import time
+from collections import Counter
+
+import uvloop
+
+from benchmarks.rig import BIG, LONG, reply, request, status
+
+AT_ONCE = 400
+KINDS = ("silent", "half", "status", "burst", "held", "connect", "slow_readers", "malformed")
+
+
+def addresses(count: int) -> list[str]:
+    """Loopback addresses: one, the hosts of one /24, or spread over many networks."""
+    if count == 1:
+        return ["127.7.7.7"]
+    if count <= 254:
+        return [f"127.7.7.{i + 1}" for i in range(count)]
+    return [f"127.{64 + i // 4096}.{i // 16 % 256}.{i % 16 + 1}" for i in range(count)]
+
+
+class Flood:
+    """Keeps up to 400 connections going in one of the ways until its time is over."""
+
+    def __init__(self, kind: str, host: str, port: int, until: float, sources: list[str]) -> None:
+        self._kind, self._where, self._until, self._sources = kind, (host, port), until, sources
+        self.counts: Counter[str] = Counter()
+
+    async def run(self) -> dict[str, int]:
+        async with asyncio.TaskGroup() as tasks:
+            for _ in range(AT_ONCE):
+                tasks.create_task(self._keep())
+        return dict(self.counts)
+
+    async def _keep(self) -> None:
+        await asyncio.sleep(random.random() * 0.2)
+        while time.monotonic() < self._until:
+            left = max(0.01, self._until - time.monotonic())
+            with contextlib.suppress(TimeoutError, OSError, asyncio.IncompleteReadError):
+                async with asyncio.timeout(left):
+                    await self._one()
+            pause = AT_ONCE / 2500 if self._kind == "connect" else 0.02
+            await asyncio.sleep(min(pause, left))
+
+    async def _one(self) -> None:
+        # Small buffers: 400 connections that read nothing must fill up.
+        reader, writer = await asyncio.open_connection(
+            *self._where, local_addr=(random.choice(self._sources), 0), limit=1 << 16
+        )
+        self.counts["connections"] += 1
+        try:
+            await self._misbehave(reader, writer)
+        finally:
+            writer.close()
+
+    async def _misbehave(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        kind = self._kind
+        if kind == "connect":
+            return
+        if kind == "silent":
+            await reader.read(1)
+        elif kind == "half":
+            writer.write(request(1, "0" * 16)[:40])
+            await reader.read(1)
+        elif kind == "malformed":
+            writer.write(os.urandom(64))
+            await reader.read(1)
+        elif kind == "status":
+            for seq in range(1, 10_000):
+                writer.write(status(seq))
+                await reply(reader)
+                self.counts["status"] += 1
+                await asyncio.sleep(0.5)
+        else:
+            first = {"burst": "0", "held": LONG, "slow_readers": BIG}[kind]
+            patience = 6000 if kind != "burst" else 2000
+            route = "video" if kind != "burst" else "page"
+            frames = [request(n, first + os.urandom(8).hex()[1:], route, patience) for n in range(1, 33)]
+            writer.write(b"".join(frames))
+            self.counts["requests"] += 32
+            if kind == "slow_readers":
+                await asyncio.sleep(4)
+                return
+            answered: set[int] = set()
+            try:
+                while len(answered) < 32:
+                    seq, how = await reply(reader)
+                    self.counts["twice"] += seq in answered
+                    answered.add(seq)
+                    self.counts[how] += 1
+            finally:
+                self.counts["closed"] += 32 - len(answered)
+
+
+if __name__ == "__main__":
+    _, name, host, port, seconds, count = sys.argv
+    uvloop.install()
+    flood = Flood(name, host, int(port), time.monotonic() + float(seconds), addresses(int(count)))
+    print(json.dumps(asyncio.run(flood.run())))
--- /dev/null
+++ b/benchmarks/rig.py
@@ -0,0 +1,339 @@
+"""What the measurements share: a front as a process with its limits, stub members, and clients that count."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import dataclasses
+import json
+import os
+import resource
+import signal
+import struct
+import subprocess
+import sys
+import tempfile
+import time
+from collections.abc import AsyncIterator, Sequence
+from pathlib import Path
+from typing import Any
+
+ROOT = Path(__file__).resolve().parent.parent
+CACHES, PARENT, ORIGIN = 4, "s-000000a0", "s-000000b0"
+BIG, LONG = "b", "c"  # first digit of an object that is large, or whose answer takes two seconds
+SMALL_BODY, BIG_BODY, QUICK, SLOW = 2_000, 240_000, 0.02, 2.0
+
+
+# Members: run as a process of their own by `python -m benchmarks.rig members` ------------------------
+
+
+async def _member(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    loop = asyncio.get_running_loop()
+    small, big = b"s" * SMALL_BODY, b"b" * BIG_BODY
+
+    def answer(name: str, body: bytes) -> None:
+        if not writer.is_closing():
+            writer.write(f"{name} 200 tell=local,rev=1,since=1 {len(body)}\r\n".encode() + body + b"\r\n")
+
+    with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError, asyncio.LimitOverrunError):
+        while line := await reader.readline():
+            words = line.decode().split()
+            if words[0] in ("stats", "alive"):
+                writer.write(f"{words[1]} alive meter=util:0.1;inflight:1;x1:0.1 0\r\n".encode())
+            elif words[0] == "fetch":
+                await reader.readexactly(int(words[3]) + 2)
+                item = words[2].partition("item=")[2][:1]
+                body, wait = (big if item == BIG else small), (SLOW if item == LONG else QUICK)
+                loop.call_later(wait, answer, words[1], body)
+    writer.close()
+
+
+async def _members(count: int) -> None:
+    ports = []
+    for _ in range(count):
+        server = await asyncio.start_server(_member, "127.0.0.1", 0, backlog=512)
+        ports.append(server.sockets[0].getsockname()[1])
+    print(json.dumps(ports), flush=True)
+    await asyncio.Event().wait()
+
+
+# The front -------------------------------------------------------------------------------------------
+
+
+@dataclasses.dataclass
+class Usage:
+    """The most that the front's process held, sampled 20 times a second."""
+
+    descriptors: int = 0
+    rss_mb: float = 0.0
+    cpu_s: float = 0.0
+
+
+@dataclasses.dataclass
+class Front:
+    """A running front."""
+
+    pid: int
+    host: str
+    port: int
+    usage: Usage
+    log: Path
+
+    def sample(self) -> None:
+        with contextlib.suppress(OSError, IndexError):
+            self.usage.descriptors = max(self.usage.descriptors, len(os.listdir(f"/proc/{self.pid}/fd")))
+            pages = int(Path(f"/proc/{self.pid}/statm").read_text().split()[1])
+            self.usage.rss_mb = max(self.usage.rss_mb, round(pages * resource.getpagesize() / 1e6, 1))
+            self.usage.cpu_s = self.cpu()
+
+    def cpu(self) -> float:
+        fields = Path(f"/proc/{self.pid}/stat").read_text().rsplit(")", 1)[1].split()
+        return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+
+
+def configuration(ports: Sequence[int], sockets: int, memory_mb: int) -> dict[str, Any]:
+    """The example's settings with members at these ports: caches, then the parent, then the origin."""
+    data: dict[str, Any] = json.loads((ROOT / "example/config.json").read_text())
+    names = [*(f"s-{i + 1:08x}" for i in range(len(ports) - 2)), PARENT, ORIGIN]
+    kinds = ["small"] * (len(ports) - 2) + ["parent", "origin"]
+    members = [
+        {"name": name, "address": f"127.0.0.1:{port}", "zone": "main" if kind != "small" else "edge-1",
+         "type": kind, "group": 0, "status": "up", "weight": 4, "since_ms": 0}
+        for name, kind, port in zip(names, kinds, ports, strict=True)
+    ]  # fmt: skip
+    data["listen"], data["limits"] = "127.0.0.1:0", {"memory_mb": memory_mb, "sockets": sockets}
+    lists = {"index": 1, "snapshot": True, "endpoints": members}
+    data["known"] = {"index": 1, "updates": [{"index": 1, "endpoints": lists}]}
+    return data
+
+
+@contextlib.asynccontextmanager
+async def members(count: int = CACHES + 2) -> AsyncIterator[list[int]]:
+    """Stub members in a process of their own; gives their ports."""
+    process = subprocess.Popen(
+        [sys.executable, "-m", "benchmarks.rig", "members", str(count)], cwd=ROOT, stdout=subprocess.PIPE
+    )
+    assert process.stdout
+    try:
+        yield json.loads(await asyncio.to_thread(process.stdout.readline))
+    finally:
+        process.kill()
+        process.wait()
+
+
+@contextlib.asynccontextmanager
+async def front(
+    ports: Sequence[int],
+    *,
+    program: Path = ROOT,
+    operator: str = "",
+    sockets: int = 256,
+    memory_mb: int = 96,
+) -> AsyncIterator[Front]:
+    """A front under its limits, run from the checkout `program`; `operator` is the operator's TOML."""
+    with tempfile.TemporaryDirectory() as folder:
+        path, log = Path(folder) / "config.json", Path(folder) / "log"
+        path.write_text(json.dumps(configuration(ports, sockets, memory_mb)))
+        environ = os.environ | {"RELAY_CONFIG": str(path)}
+        environ.pop("ZINCLADDER_OPERATOR", None)
+        if operator:
+            (Path(folder) / "operator.toml").write_text(operator)
+            environ["ZINCLADDER_OPERATOR"] = str(Path(folder) / "operator.toml")
+        with log.open("w") as out:
+            process = subprocess.Popen(
+                [sys.executable, "-m", "zincladder"],
+                cwd=program,
+                env=environ,
+                stderr=out,
+                preexec_fn=lambda: resource.setrlimit(resource.RLIMIT_NOFILE, (sockets, sockets)),
+            )
+        try:
+            host, port = await _ready(process, log)
+            found = Front(process.pid, host, port, Usage(), log)
+            sampler = asyncio.create_task(_sample(found))
+            yield found
+            sampler.cancel()
+            if process.poll() is not None:
+                raise RuntimeError(f"the front ended with {process.returncode}:\n{log.read_text()[-2000:]}")
+        finally:
+            process.send_signal(signal.SIGKILL)
+            process.wait()
+
+
+async def _ready(process: subprocess.Popen[bytes], log: Path) -> tuple[str, int]:
+    until = time.monotonic() + 10
+    while time.monotonic() < until and process.poll() is None:
+        for line in log.read_text().splitlines():
+            if '"event": "ready"' in line:
+                host, port = json.loads(line)["clients"]
+                return host, port
+        await asyncio.sleep(0.02)
+    raise RuntimeError(f"the front did not start:\n{log.read_text()}")
+
+
+async def _sample(found: Front) -> None:
+    while True:
+        found.sample()
+        await asyncio.sleep(0.05)
+
+
+# Clients ---------------------------------------------------------------------------------------------
+
+
+def _text(text: str) -> bytes:
+    return struct.pack(">i", len(text)) + text.encode()
+
+
+def request(seq: int, entity: str, route: str = "page", patience: int = 2000) -> bytes:
+    """One framed `handle` call."""
+    said = {"route": route, "trace": os.urandom(8).hex(), "patience": str(patience), "entity": entity,
+            "slice": "0", "set": "17"}  # fmt: skip
+    fields = b"".join(_text(k) + _text(v) for k, v in said.items())
+    args = b"\x0d\0\1" + struct.pack(">BBi", 11, 11, len(said)) + fields + b"\x0b\0\2" + struct.pack(">i", 0)
+    return _framed("handle", seq, args)
+
+
+def status(seq: int) -> bytes:
+    return _framed("status", seq, b"\x02\0\1\1")
+
+
+def _framed(verb: str, seq: int, args: bytes) -> bytes:
+    frame = struct.pack(">I", 0x80010001) + _text(verb) + struct.pack(">i", seq) + args + b"\0"
+    return struct.pack(">i", len(frame)) + frame
+
+
+async def reply(reader: asyncio.StreamReader) -> tuple[int, str]:
+    """The next reply's number, and 'served', 'refused', 'failed' or 'exception'."""
+    frame = await reader.readexactly(struct.unpack(">i", await reader.readexactly(4))[0])
+    size = struct.unpack_from(">i", frame, 4)[0]
+    seq = int(struct.unpack_from(">i", frame, 8 + size)[0])
+    if frame[3] == 3:
+        return seq, "exception"
+    number: int = struct.unpack_from(">h", frame, 13 + size)[0]
+    return seq, ("served", "refused", "failed")[number]
+
+
+@dataclasses.dataclass
+class Count:
+    """What became of a group of clients' requests."""
+
+    asked: int = 0
+    ends: dict[str, int] = dataclasses.field(default_factory=dict)
+    times: list[float] = dataclasses.field(default_factory=list)
+    twice: int = 0  # answers to a request that had one
+    lost: int = 0  # neither answer nor close in the time that the client gave
+    at: list[tuple[float, bool]] = dataclasses.field(default_factory=list)  # when asked, whether served
+
+    def end(self, kind: str, asked_at: float, took: float) -> None:
+        self.ends[kind] = self.ends.get(kind, 0) + 1
+        self.at.append((asked_at, kind == "served"))
+        if kind == "served":
+            self.times.append(took)
+
+    @property
+    def served(self) -> float:
+        return self.ends.get("served", 0) / self.asked if self.asked else 0.0
+
+    def quantile(self, q: float) -> float:
+        """In milliseconds, of what was served."""
+        found = sorted(self.times)
+        return round(1000 * found[min(len(found) - 1, int(q * len(found)))], 1) if found else float("inf")
+
+
+class UsualClient:
+    """One client at its own address that asks at a steady rate and waits for each answer."""
+
+    def __init__(
+        self, target: Front, address: str, rate: float, count: Count, *, fresh: bool = False
+    ) -> None:
+        self._target, self._address, self._rate, self._count = target, address, rate, count
+        self._fresh = fresh  # a new connection for each request
+        self._pair: tuple[asyncio.StreamReader, asyncio.StreamWriter] | None = None
+        self._seq = 0
+        self._open: dict[int, asyncio.Future[str]] = {}
+        self._answered: set[int] = set()
+        self._task: asyncio.Task[None] | None = None
+        self._turn = asyncio.Lock()
+
+    async def run(self, until: float) -> None:
+        async with asyncio.TaskGroup() as tasks:
+            at = time.monotonic() + hash(self._address) % 100 / 100 / self._rate
+            while at < until:
+                await asyncio.sleep(max(0.0, at - time.monotonic()))
+                tasks.create_task(self._one())
+                at += 1 / self._rate
+        self.close()
+
+    def close(self) -> None:
+        if self._task:
+            self._task.cancel()
+        if self._pair:
+            self._pair[1].close()
+        self._pair = None
+
+    async def _one(self) -> None:
+        asked = time.monotonic()
+        self._count.asked += 1
+        kind = "lost"
+        for _ in range(2):  # a request that crosses a close goes again on a new connection, once
+            try:
+                async with asyncio.timeout(asked + 2.2 - time.monotonic()):
+                    kind = await (self._alone() if self._fresh else self._shared())
+            except TimeoutError:
+                kind = "lost"
+                self._count.lost += 1
+            except (OSError, asyncio.IncompleteReadError):
+                kind = "closed"
+            if kind != "closed":
+                break
+        self._count.end(kind, asked, time.monotonic() - asked)
+
+    async def _connect(self) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        return await asyncio.open_connection(
+            self._target.host, self._target.port, local_addr=(self._address, 0), limit=1 << 20
+        )
+
+    async def _alone(self) -> str:
+        reader, writer = await self._connect()
+        try:
+            writer.write(request(1, os.urandom(8).hex()[1:].rjust(16, "0")))
+            return (await reply(reader))[1]
+        finally:
+            writer.close()
+
+    async def _shared(self) -> str:
+        async with self._turn:
+            if self._pair is None:
+                self._pair, self._seq, self._answered = await self._connect(), 0, set()
+                self._task = asyncio.create_task(self._read(self._pair[0]))
+            self._seq += 1
+            waits: asyncio.Future[str] = asyncio.get_running_loop().create_future()
+            self._open[self._seq] = waits
+            self._pair[1].write(request(self._seq, os.urandom(8).hex()[1:].rjust(16, "0")))
+        return await waits
+
+    async def _read(self, reader: asyncio.StreamReader) -> None:
+        try:
+            while True:
+                seq, kind = await reply(reader)
+                if seq in self._answered:
+                    self._count.twice += 1
+                self._answered.add(seq)
+                waits = self._open.pop(seq, None)
+                if waits and not waits.done():
+                    waits.set_result(kind)
+        except (OSError, asyncio.IncompleteReadError):
+            pass
+        finally:
+            pair, self._pair = self._pair, None
+            if pair:
+                pair[1].close()
+            left, self._open = self._open, {}
+            for waits in left.values():
+                if not waits.done():
+                    waits.set_exception(ConnectionResetError())
+
+
+if __name__ == "__main__":
+    if sys.argv[1] == "members":
+        asyncio.run(_members(int(sys.argv[2])))
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 import pytest
+import structlog
 
 from zincladder import interface as api
 from zincladder.decide import Router
@@ -59,6 +60,10 @@
 FLEET = (*(cache(n) for n in range(4)), *(parent(n) for n in range(3)), ORIGIN_MEMBER)
 
 
+# As the daemon logs: a traceback drawn in colours takes half a second of the event loop.
+structlog.configure(processors=[structlog.processors.format_exc_info, structlog.processors.LogfmtRenderer()])
+
+
 @pytest.fixture
 def anyio_backend() -> tuple[str, dict[str, bool]]:
     return "asyncio", {"use_uvloop": True}  # as the daemon runs
--- a/tests/stands.py
+++ b/tests/stands.py
@@ -17,7 +17,8 @@
 import dns.rdatatype
 
 from zincladder.__main__ import Listening, front
-from zincladder.config import config_of, operator_of
+from zincladder.config import config_of
+from zincladder.config.operator import operator_of
 from zincladder.net import thrift
 
 MODELS = ["small", "parent", "origin"]
--- a/tests/test_dns.py
+++ b/tests/test_dns.py
@@ -108,7 +108,10 @@
         (b"\x12\x34\x01\x00" + bytes(8), dns.rcode.FORMERR),
         (b"\x12\x34\x01\x00" + b"\xff" * 40, dns.rcode.FORMERR),
         (b"\x12\x34\x20\x00\x00\x01" + bytes(6) + b"\0\0\1\0\1", dns.rcode.NOTIMP),
-        (dns.message.make_query("papers.main.example.org", "A", use_edns=1).to_wire(), dns.rcode.BADVERS),
+        (
+            dns.message.make_query("papers.main.example.org", "A", use_edns=1, id=0x1234).to_wire(),
+            dns.rcode.BADVERS,
+        ),
     ],
 )
 async def test_what_cannot_be_read_is_answered_in_kind_and_the_front_goes_on(data: bytes, code: int) -> None:
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -48,7 +48,7 @@
 
 
 def test_the_decisions_and_the_adapter_need_the_standard_library_only() -> None:
-    for name in ("decide.py", "interface.py", "wire.py", "drill.py", "config.py"):
+    for name in ("decide.py", "interface.py", "wire.py", "drill.py", "config/__init__.py"):
         roots = {n.split(".")[0] for n in imported(name)}
         assert roots <= set(sys.stdlib_module_names) | {"zincladder"}
 
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -15,7 +15,8 @@
 import yaml
 
 from tests.stands import client, serve, world
-from zincladder.config import ConfigError, Names, RemoteWriteConfig, operator_of
+from zincladder.config import ConfigError, Names, RemoteWriteConfig
+from zincladder.config.operator import operator_of
 from zincladder.core.engine import Core
 from zincladder.interface import Settings
 from zincladder.metrics.registry import NAMES, Registry
@@ -145,7 +146,7 @@
     [
         ({"dns": {"zone": "a.org", "listen": "x", "host": []}}, "'dns.listen'"),
         (
-            {"dns": {"zone": "a.org", "listen": "127.0.0.1:0", "host": [{"name": "b.org"}]}},
+            {"dns": {"zone": "a.org", "listen": "127.0.0.1:0", "host": [{"name": "b.org", "class": "page"}]}},
             "'dns.host[0].name'",
         ),
         ({"remote_write": {"url": "ftp://x"}}, "'remote_write.url'"),
--- a/zincladder/__main__.py
+++ b/zincladder/__main__.py
@@ -16,6 +16,9 @@
 
 from zincladder import config as configuration
 from zincladder import interface as api
+from zincladder.admission.gate import Admission, Bounds, Gate
+from zincladder.admission.ledger import PLAIN, SHARED, Ledger
+from zincladder.admission.plain import Plain
 from zincladder.core.engine import Clock, Core
 from zincladder.net.caches import Caches
 from zincladder.net.clients import Clients
@@ -83,6 +86,14 @@
             tasks.cancel_scope.cancel()
 
 
+def admission_of(config: configuration.Config, operator: configuration.Operator) -> Admission:
+    """By source where the operator's file says so; else by connection, as the platform's clients need it."""
+    bounds = Bounds(config.most_open, config.most_unread)
+    if operator.admission is None:
+        return Plain(bounds, Ledger(config.sockets, PLAIN, own=0))
+    return Gate(operator.admission, bounds, Ledger(config.sockets, SHARED))
+
+
 def follow(feed: Feed, config: configuration.Config) -> None:
     if config.coordinator:
         feed.follow(config.coordinator)
@@ -107,10 +118,11 @@
 ) -> None:
     """Runs all parts until the client side has ended."""
     clock = Clock()
-    caches = Caches(config, clock.now)
+    admission = admission_of(config, operator)
+    caches = Caches(config, clock.now, admission.ledger)
     core = Core(config.settings, config.seed, caches, clock)
     last, events = known_news(config)
-    clients = Clients(config, core)
+    clients = Clients(config, core, admission)
     feed: Feed | None = None
     where_dns = where_metrics = None
     async with anyio.create_task_group() as tasks:
--- /dev/null
+++ b/zincladder/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Who may hold a connection, who may have a request worked on, and who leaves when there is too little."""
--- /dev/null
+++ b/zincladder/admission/shares.py
@@ -0,0 +1,202 @@
+"""Whose message is read next: a fair share of the loop's time for each lane, network and source.
+
+Loop time is money in accounts. Each lane earns its share of it, and what a lane doesn't need falls to a
+common account that any lane may draw on, so that nothing lies idle. A reader asks before it parses a
+message. While its lane has money it goes on at once; else it waits, unread, and `pour` lets waiters go by
+deficit round robin (Shreedhar and Varghese, SIGCOMM 1995): in the lanes of newcomers over networks and
+within a network over sources, so that ten thousand addresses of one network are one flow beside another
+network's three.
+"""
+
+from __future__ import annotations
+
+from collections import OrderedDict, deque
+
+from zincladder.admission.model import Lane, Seat, Source
+
+# What things cost in loop seconds, as measured by benchmarks/admission.py; `pace` fits them to the machine.
+MESSAGE = 150e-6  # read and parse one, and turn it down
+REQUEST = 900e-6  # all that a request costs until it is answered, its message included
+PER_BYTE = 1.2e-9
+CONNECTION = 450e-6
+TURNED = 30e-6
+BURST = 0.03  # seconds of loop time that an account holds at most, times its share
+QUANTUM = REQUEST
+LATE = 0.025  # seconds by which the loop may be late before less is let in
+LEAST_RATE, MOST_RATE = 0.08, 0.9  # loop seconds a second
+CUT, REGAIN = 0.96, 0.004  # of the rate, at each look
+
+
+class _Flow:
+    """The waiting seats of one network or source, source by source."""
+
+    __slots__ = ("deficit", "sources")
+
+    def __init__(self) -> None:
+        self.sources: OrderedDict[Source, deque[Seat]] = OrderedDict()
+        self.deficit = 0.0
+
+    def next(self) -> Seat:
+        """Takes the first waiting seat of the source whose turn it is, which then goes behind the others."""
+        source, seats = next(iter(self.sources.items()))
+        seat = seats.popleft()
+        if seats:
+            self.sources.move_to_end(source)
+        else:
+            del self.sources[source]
+        return seat
+
+
+class _Queue:
+    """One lane: its account and its flows in the order of their turns."""
+
+    __slots__ = ("credit", "flows", "share", "waiting")
+
+    def __init__(self, share: float) -> None:
+        self.share = share
+        self.credit = BURST * share
+        self.flows: OrderedDict[Source, _Flow] = OrderedDict()
+        self.waiting = 0
+
+
+class Shares:
+    """Loop time by lane, network and source."""
+
+    def __init__(self, known: float, new: float) -> None:
+        self.rate = MOST_RATE
+        self.pace = 1.0  # measured loop time over what the table above says
+        self._spare = BURST
+        self._queues: dict[Lane, _Queue] = {}
+        self.weigh(known, new)
+        self._poured_at: float | None = None
+        self._modelled = 0.0
+
+    def weigh(self, known: float, new: float) -> None:
+        """Other shares from now on; what the two leave is for sources under a penalty."""
+        rest = max(0.01, 1.0 - known - new)
+        for lane, share in ((Lane.KNOWN, known), (Lane.NEW, new), (Lane.LIMITED, rest)):
+            if lane in self._queues:
+                self._queues[lane].share = share
+            else:
+                self._queues[lane] = _Queue(share)
+        self._queues[Lane.LISTED] = self._queues[Lane.KNOWN]
+
+    @property
+    def waiting(self) -> int:
+        return sum(q.waiting for lane, q in self._queues.items() if lane is not Lane.LISTED)
+
+    def waiting_in(self, lane: Lane) -> int:
+        return self._queues[lane].waiting
+
+    def ask(self, lane: Lane, cost: float = REQUEST) -> bool:
+        """May one message be read now? If so it is paid for."""
+        queue = self._queues[lane]
+        cost *= self.pace
+        if queue.waiting:
+            return False  # those before it first
+        if queue.credit > 0.0:
+            queue.credit -= cost
+        elif self._spare > 0.0:
+            self._spare -= cost
+        else:
+            return False
+        self._modelled += cost
+        return True
+
+    def charge(self, lane: Lane, cost: float) -> None:
+        """What a source cost beside its paid messages; negative gives back what was paid too much."""
+        cost *= self.pace
+        self._modelled += cost
+        queue = self._queues[lane]
+        if queue.credit > 0.0 or self._spare <= 0.0:
+            queue.credit -= cost
+        else:
+            self._spare -= cost
+
+    def wait(self, seat: Seat) -> None:
+        """Puts a seat in line, once."""
+        queue = self._queues[seat.lane]
+        flow_key = self._flow_of(seat)
+        flow = queue.flows.get(flow_key)
+        if flow is None:
+            flow = queue.flows[flow_key] = _Flow()
+        flow.sources.setdefault(seat.source, deque()).append(seat)
+        queue.waiting += 1
+
+    def leave(self, seat: Seat) -> None:
+        """A waiting seat that has ended."""
+        queue = self._queues[seat.lane]
+        flow_key = self._flow_of(seat)
+        flow = queue.flows.get(flow_key)
+        if flow is None or seat not in (seats := flow.sources.get(seat.source, deque())):
+            return
+        seats.remove(seat)
+        queue.waiting -= 1
+        if not seats:
+            del flow.sources[seat.source]
+            if not flow.sources:
+                del queue.flows[flow_key]
+
+    @staticmethod
+    def _flow_of(seat: Seat) -> Source:
+        source = seat.source
+        return source if seat.lane <= Lane.KNOWN or source.up is None else source.up
+
+    def pour(self, now: float, behind: float) -> list[Seat]:
+        """Pays the accounts what time has brought and names the seats whose turn it is, in order."""
+        if self._poured_at is None:
+            self._poured_at = now
+        since = min(0.1, max(0.0, now - self._poured_at))
+        self._poured_at = now
+        waiting = any(q.waiting for q in self._queues.values())
+        # Additive increase, multiplicative decrease: what the machine gives is not known, lateness is seen.
+        if behind > LATE:
+            self.rate = max(LEAST_RATE, self.rate * CUT)
+        elif self.rate < MOST_RATE:
+            self.rate = min(MOST_RATE, self.rate + (REGAIN if waiting else 3 * REGAIN))
+        let: list[Seat] = []
+        for lane in (Lane.KNOWN, Lane.NEW, Lane.LIMITED):
+            queue = self._queues[lane]
+            queue.credit += since * self.rate * queue.share
+            over = queue.credit - BURST * queue.share
+            if over > 0.0 and not queue.waiting:
+                queue.credit -= over
+                self._spare = min(BURST, self._spare + over)
+            self._serve(queue, let)
+        for lane in (Lane.KNOWN, Lane.NEW, Lane.LIMITED):
+            queue = self._queues[lane]
+            if queue.waiting and self._spare > 0.0:
+                queue.credit, self._spare = queue.credit + self._spare, 0.0
+                self._serve(queue, let)
+            over = queue.credit - BURST * queue.share
+            if over > 0.0:
+                queue.credit -= over
+                self._spare = min(BURST, self._spare + over)
+        return let
+
+    def _serve(self, queue: _Queue, let: list[Seat]) -> None:
+        cost = REQUEST * self.pace
+        while queue.waiting and queue.credit > 0.0:
+            key, flow = next(iter(queue.flows.items()))
+            flow.deficit += QUANTUM * self.pace
+            while flow.sources and flow.deficit >= cost and queue.credit > 0.0:
+                seat = flow.next()
+                flow.deficit -= cost
+                queue.credit -= cost
+                queue.waiting -= 1
+                self._modelled += cost
+                let.append(seat)
+            if flow.sources:
+                queue.flows.move_to_end(key)
+            else:
+                del queue.flows[key]
+
+    def measured(self, cpu: float) -> None:
+        """Fits the table of costs to the machine: `cpu` is the process's time since the last call.
+
+        What costs nothing by the table (timers, probes, scrapes) counts as if requests had caused it, so a
+        time with too little to do says nothing.
+        """
+        modelled, self._modelled = self._modelled / self.pace, 0.0
+        if modelled > 0.05 and cpu > 0.05:
+            self.pace += 0.2 * (min(4.0, max(0.25, cpu / modelled)) - self.pace)
--- a/zincladder/config.py
+++ b/zincladder/config/__init__.py
@@ -13,9 +13,9 @@
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Any, TypeVar
-from urllib.parse import urlsplit
 
 from zincladder import interface as api
+from zincladder.admission.model import Limits
 
 T = TypeVar("T")
 Address = tuple[str, int]
@@ -106,10 +106,14 @@
 
 
 def address(text: Any) -> Address:
-    """An address in the form 'HOST:PORT'."""
+    """An address in the form 'HOST:PORT', with an IPv6 host in brackets."""
     host, colon, port = _text(text).rpartition(":")
     if not colon or not host or not 0 <= int(port) <= 65535:
         raise ValueError
+    if host.startswith("[") and host.endswith("]"):  # RFC 3986, 3.2.2: an IPv6 literal
+        host = host[1:-1]
+    elif ":" in host:
+        raise ValueError
     return host, int(port)
 
 
@@ -288,52 +292,16 @@
     dns: DnsConfig | None = None
     metrics: Address | None = None
     remote_write: RemoteWriteConfig | None = None
+    admission: Limits | None = None
+    control: str | None = None  # the path of the unix socket that operators' commands use
 
 
-def operator_of(data: Any, names: Names) -> Operator:
-    """The operator's configuration from its parsed TOML."""
-    top = Node(data, "")
-    listen = "an address like 127.0.0.1:9090"
-    metrics = top.sub("metrics").get("listen", address, listen, None) if "metrics" in top.data else None
-    return Operator(
-        _dns(top.sub("dns"), names) if "dns" in top.data else None,
-        metrics,
-        _remote_write(top.sub("remote_write")) if "remote_write" in top.data else None,
-    )
-
-
-def _dns(dns: Node, names: Names) -> DnsConfig:
-    zone = dns.text("zone").rstrip(".").lower()
-    classes = {name: i for i, name in enumerate(names.classes)}
-    hosts = []
-    for i, raw in enumerate(dns.get("host", _list, "a list of tables", None)):
-        host = Node(raw, f"dns.host[{i}]")
-        name = host.text("name").rstrip(".").lower()
-        if not name.endswith("." + zone):
-            raise ConfigError(f"'{host.at('name')}' must end in '.{zone}', not be {name!r}")
-        hosts.append(
-            Host(
-                name,
-                host.choice("class", classes),
-                host.get("object", lambda v: int(_text(v), 16), "hex digits", 0),
-                host.whole("group", 0),
-            )
-        )
-    deadline = dns.num("deadline_ms", 250.0) / 1000
-    if deadline <= 0:
-        raise ConfigError(f"'{dns.at('deadline_ms')}' must be more than 0")
-    listen = dns.get("listen", address, "an address like 127.0.0.1:5353", None)
-    return DnsConfig(listen, zone, deadline, tuple(hosts))
-
-
-def _remote_write(node: Node) -> RemoteWriteConfig:
-    url = urlsplit(node.text("url"))
-    if url.scheme != "http" or not url.hostname:
-        raise ConfigError(f"'{node.at('url')}' must be like http://127.0.0.1:9090/api/v1/write")
-    every, queue = node.num("every_s", 15.0), node.whole("queue", 64)
-    if every <= 0 or queue < 1:
-        raise ConfigError(f"'{node.at('every_s')}' must be more than 0 and '{node.at('queue')}' at least 1")
-    return RemoteWriteConfig(url.hostname, url.port or 80, url.path or "/", every, queue)
+def read_operator(path: str | Path) -> dict[str, Any]:
+    """The operator's file as parsed TOML; ConfigError where it cannot be read."""
+    try:
+        return tomllib.loads(Path(path).read_text())
+    except (OSError, ValueError) as fault:
+        raise ConfigError(f"'ZINCLADDER_OPERATOR' cannot be read: {fault}") from None
 
 
 def load_operator(names: Names, environ: Mapping[str, str] = os.environ) -> Operator:
@@ -341,10 +309,10 @@
     path = environ.get("ZINCLADDER_OPERATOR")
     if not path:
         return Operator()
-    try:
-        return operator_of(tomllib.loads(Path(path).read_text()), names)
-    except (OSError, ValueError) as fault:
-        raise ConfigError(f"'ZINCLADDER_OPERATOR' cannot be read: {fault}") from None
+    # Imported here: a front without such a file starts sooner after a restart, and holds a megabyte less.
+    from zincladder.config.operator import operator_of
+
+    return operator_of(read_operator(path), names)
 
 
 def config_of(data: Any) -> Config:
--- /dev/null
+++ b/zincladder/config/operator.py
@@ -0,0 +1,265 @@
+"""The operator's file: its tables, their checks and defaults. Imported only where such a file is named.
+
+Tables are msgspec structs; a fault becomes a ConfigError whose text names the key as a path from the top.
+"""
+
+from __future__ import annotations
+
+import re
+from typing import Annotated, Any, TypeVar
+from urllib.parse import urlsplit
+
+import msgspec
+from msgspec import Meta
+
+from zincladder.admission.model import Limits, Network
+from zincladder.admission.networks import NetworkMap
+from zincladder.config import (
+    Address,
+    ConfigError,
+    DnsConfig,
+    Host,
+    Names,
+    Operator,
+    RemoteWriteConfig,
+    address,
+)
+
+T = TypeVar("T")
+Whole = Annotated[int, Meta(ge=0)]
+Count = Annotated[int, Meta(ge=1, le=1_000_000)]
+Positive = Annotated[float, Meta(gt=0)]
+Share = Annotated[float, Meta(ge=0, le=0.9)]
+MOST_FAULTS = 20
+
+
+class HostTable(msgspec.Struct, forbid_unknown_fields=True):
+    """[[dns.host]]"""
+
+    name: str
+    klass: str = msgspec.field(name="class")
+    object: str = "0"
+    group: Annotated[int, Meta(ge=0, le=255)] = 0
+
+
+class DnsTable(msgspec.Struct, forbid_unknown_fields=True):
+    """[dns]"""
+
+    listen: str
+    zone: str
+    host: list[HostTable]
+    deadline_ms: Positive = 250.0
+
+
+class MetricsTable(msgspec.Struct, forbid_unknown_fields=True):
+    """[metrics]"""
+
+    listen: str
+
+
+class RemoteWriteTable(msgspec.Struct, forbid_unknown_fields=True):
+    """[remote_write]"""
+
+    url: str
+    every_s: Positive = 15.0
+    queue: Count = 64
+
+
+class ControlTable(msgspec.Struct, forbid_unknown_fields=True):
+    """[control]"""
+
+    socket: Annotated[str, Meta(min_length=1, max_length=100)]  # sockaddr_un holds 108 bytes
+
+
+class NetworkTable(msgspec.Struct, forbid_unknown_fields=True):
+    """[[admission.network]]"""
+
+    net: str
+    connections: Whole = 0
+    rate: Annotated[float, Meta(ge=0)] = 0.0
+
+
+class AdmissionTable(msgspec.Struct, forbid_unknown_fields=True):
+    """[admission]; the defaults are those of Limits."""
+
+    enabled: bool = True
+    per_address: Count = Limits.per_address
+    per_network: Count = Limits.per_network
+    known_per_address: Count = Limits.known_per_address
+    rate: Positive = Limits.rate
+    burst: Count = Limits.burst
+    network_rate: Positive = Limits.network_rate
+    network_burst: Count = Limits.network_burst
+    reserve: Share = Limits.reserve
+    sources: Annotated[int, Meta(ge=256, le=1_000_000)] = Limits.sources
+    known_after_s: Annotated[float, Meta(ge=1, le=60)] = Limits.known_after
+    known_for_s: Positive = Limits.known_for
+    penalty_s: Positive = Limits.penalty
+    penalty_most_s: Positive = Limits.penalty_most
+    known_share: Share = Limits.known_share
+    new_share: Share = Limits.new_share
+    lobby: Annotated[int, Meta(ge=0, le=64)] = Limits.lobby
+    network: list[NetworkTable] = []
+    blocked: list[str] = []
+
+
+TABLES: dict[str, Any] = {
+    "dns": DnsTable,
+    "metrics": MetricsTable,
+    "remote_write": RemoteWriteTable,
+    "admission": AdmissionTable,
+    "control": ControlTable,
+}
+AT = re.compile(r" - at `\$(.*)`$")
+FIELD = re.compile(r"Object (?:missing required|contains unknown) field `([^`]*)`")
+
+
+def _fault(fault: msgspec.ValidationError, table: str) -> tuple[str, str]:
+    """The path of the faulty key and what is wrong with it."""
+    text = str(fault)
+    at = AT.search(text)
+    path = table + (at.group(1) if at else "")
+    said = text[: at.start()] if at else text
+    if field := FIELD.match(said):
+        path = f"{path}.{field.group(1)}"
+        said = "it is missing" if "missing" in said else "there is no such key"
+    return path, said
+
+
+def _table(data: dict[str, Any], name: str, kind: type[T]) -> T | None:
+    if name not in data:
+        return None
+    try:
+        return msgspec.convert(data[name], kind)
+    except msgspec.ValidationError as fault:
+        path, said = _fault(fault, name)
+        raise ConfigError(f"'{path}': {said}") from None
+
+
+def _address(text: str, key: str) -> Address:
+    try:
+        return address(text)
+    except ValueError:
+        raise ConfigError(f"'{key}' must be an address like 127.0.0.1:9090, not {text[:40]!r}") from None
+
+
+def _dns(dns: DnsTable, names: Names) -> DnsConfig:
+    zone = dns.zone.rstrip(".").lower()
+    listen = _address(dns.listen, "dns.listen")
+    classes = {name: i for i, name in enumerate(names.classes)}
+    hosts = []
+    for i, host in enumerate(dns.host):
+        key = f"dns.host[{i}]"
+        name = host.name.rstrip(".").lower()
+        if not name.endswith("." + zone):
+            raise ConfigError(f"'{key}.name' must end in '.{zone}', not be {name!r}")
+        if host.klass not in classes:
+            raise ConfigError(f"'{key}.class' must be {' or '.join(classes)}, not {host.klass[:40]!r}")
+        try:
+            number = int(host.object, 16)
+        except ValueError:
+            raise ConfigError(f"'{key}.object' must be hex digits, not {host.object[:40]!r}") from None
+        hosts.append(Host(name, classes[host.klass], number, host.group))
+    return DnsConfig(listen, zone, dns.deadline_ms / 1000, tuple(hosts))
+
+
+def _remote_write(table: RemoteWriteTable) -> RemoteWriteConfig:
+    try:
+        url = urlsplit(table.url)
+        good = url.scheme == "http" and bool(url.hostname)
+        port = url.port or 80
+    except ValueError:
+        good = False
+    if not good:
+        raise ConfigError("'remote_write.url' must be like http://127.0.0.1:9090/api/v1/write")
+    return RemoteWriteConfig(str(url.hostname), port, url.path or "/", table.every_s, table.queue)
+
+
+def _admission(table: AdmissionTable) -> Limits:
+    if table.known_share + table.new_share > 0.99:
+        raise ConfigError(
+            "'admission.new_share' and 'known_share' must leave 0.01 for sources under a penalty"
+        )
+    if table.penalty_most_s < table.penalty_s:
+        raise ConfigError("'admission.penalty_most_s' must be at least 'penalty_s'")
+    check: NetworkMap[None] = NetworkMap()
+    named = [(f"admission.network[{i}].net", n.net) for i, n in enumerate(table.network)]
+    named += [(f"admission.blocked[{i}]", net) for i, net in enumerate(table.blocked)]
+    for key, net in named:
+        try:
+            check.put(net, None)
+        except ValueError as fault:
+            raise ConfigError(f"'{key}' must be a network like 10.0.0.0/8: {fault}") from None
+    return Limits(
+        per_address=table.per_address,
+        per_network=table.per_network,
+        known_per_address=table.known_per_address,
+        rate=table.rate,
+        burst=table.burst,
+        network_rate=table.network_rate,
+        network_burst=table.network_burst,
+        reserve=table.reserve,
+        sources=table.sources,
+        known_after=table.known_after_s,
+        known_for=table.known_for_s,
+        penalty=table.penalty_s,
+        penalty_most=table.penalty_most_s,
+        known_share=table.known_share,
+        new_share=table.new_share,
+        lobby=table.lobby,
+        networks=tuple(Network(n.net, n.connections, n.rate) for n in table.network),
+        blocked=tuple(table.blocked),
+    )
+
+
+def operator_of(data: dict[str, Any], names: Names) -> Operator:
+    """The operator's configuration from its parsed TOML; ConfigError names the first key that cannot be
+    used.
+    """
+    for name in data:
+        if name not in TABLES:
+            raise ConfigError(f"'{name}': there is no such table, only {', '.join(TABLES)}")
+    dns = _table(data, "dns", DnsTable)
+    metrics = _table(data, "metrics", MetricsTable)
+    remote_write = _table(data, "remote_write", RemoteWriteTable)
+    admission = _table(data, "admission", AdmissionTable)
+    control = _table(data, "control", ControlTable)
+    return Operator(
+        _dns(dns, names) if dns else None,
+        _address(metrics.listen, "metrics.listen") if metrics else None,
+        _remote_write(remote_write) if remote_write else None,
+        _admission(admission) if admission and admission.enabled else None,
+        control.socket if control else None,
+    )
+
+
+def faults_of(data: dict[str, Any], names: Names) -> list[str]:
+    """Every fault that can be told from the others: each table is looked at whatever the others hold."""
+    found = [f"'{n}': there is no such table, only {', '.join(TABLES)}" for n in data if n not in TABLES]
+    for name in TABLES:
+        left = {name: data[name]} if name in data else {}
+        for _ in range(MOST_FAULTS):
+            try:
+                operator_of(left, names)
+                break
+            except ConfigError as fault:
+                said = str(fault)
+                found.append(said)
+                if not _without(left, said.split("'")[1]):
+                    break
+    return found
+
+
+def _without(data: dict[str, Any], path: str) -> bool:
+    """Takes a faulty key out, so that the next fault of its table shows; False where that can't be done."""
+    at: Any = data
+    steps = re.findall(r"[^.\[\]]+", path)
+    for step in steps[:-1]:
+        try:
+            at = at[int(step)] if isinstance(at, list) else at[step]
+        except (KeyError, IndexError, ValueError, TypeError):
+            return False
+    if isinstance(at, dict) and steps[-1] in at:
+        del at[steps[-1]]
+        return True
+    return False
--- a/zincladder/core/engine.py
+++ b/zincladder/core/engine.py
@@ -126,6 +126,7 @@
         self.purged: dict[tuple[int | None, int], float] = {}
         self.lives: dict[int, Life] = {}
         self.counts: Counter[tuple[str, str]] = Counter()
+        self.on_tick: Callable[[], None] | None = None  # a front's own look at the clock
         self.behind = 0.0  # seconds by which the event loop was late at its last two looks
         self._requests = 0
         self._timers: list[tuple[float, int]] = []
@@ -365,6 +366,8 @@
                     self._attempts.start_soon(self._probe, self._probes.pop())
                 while self._timers and self._timers[0][0] <= self.clock.now():
                     self._notify(api.TimerFired(heapq.heappop(self._timers)[1]))
+                if self.on_tick is not None:
+                    self.on_tick()
                 if not self._probes:
                     before = self.clock.now()
                     await anyio.sleep(TICK)
--- a/zincladder/net/caches.py
+++ b/zincladder/net/caches.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import errno
 import math
 import re
 import socket
@@ -14,6 +15,7 @@
 from anyio.abc import TaskGroup
 
 from zincladder import interface as api
+from zincladder.admission.ledger import Ledger, Use
 from zincladder.config import BODY, REPORTS, Address, Config
 from zincladder.core.ends import End, How
 from zincladder.core.engine import Order
@@ -23,7 +25,6 @@
 MOST_HEAD = 2048
 MOST_BODY = BODY
 IDLE_SHARE = 0.7  # of the caches' own idle time: this side closes first, so that no request crosses a close
-CACHES_SHARE = 0.33  # of the descriptors
 PROBE_LIMIT = 1.0  # seconds for the answer to a probe
 STALL = 10.0
 BROKEN_OFF = 0.3  # seconds without a byte inside an answer: those come in one piece, in under 50 ms
@@ -31,6 +32,7 @@
     0.8  # seconds without a byte from a member that owes an answer: its connection is not used again
 )
 NAMES_FOR = 10.0  # seconds for which an id is not used again on its connection, past the longest deadline
+SHORT_BY, SHORT_FOR = 4, 0.03  # descriptors made free when the system has none, and seconds to wait for them
 CONNECT_LIMIT = 0.4  # where the settings name none
 ENDS = {
     b"200": How.SERVED,
@@ -200,14 +202,13 @@
 class Caches:
     """Connections to all members: the carrier of the core."""
 
-    def __init__(self, config: Config, now: Callable[[], float]) -> None:
-        self._config, self._now = config, now
+    def __init__(self, config: Config, now: Callable[[], float], ledger: Ledger) -> None:
+        self._config, self._now, self._ledger = config, now, ledger
         self._names = config.settings.report_names
         self._class_names = config.names.classes
         self._addresses: dict[api.MemberId, Address] = {}
         self._links: dict[api.MemberId, list[_Link]] = {}
         self._tasks: TaskGroup | None = None
-        self._count = 0  # connections, with those that are coming up
         self._warn = Sparing()
         self._probes = 0
 
@@ -331,19 +332,20 @@
         usable = self._usable(member, name)
         if usable and not usable.open:
             return usable
-        if self._count >= self._config.sockets * CACHES_SHARE and not self._make_room():
+        if self._ledger.room(Use.CACHES) <= 0 and not self._make_room():
             if usable:
                 return usable
             raise OSError("no descriptor is left for one more connection")
         where = self._addresses.get(member)
         if where is None:
             raise OSError("the member is gone")
-        self._count += 1
+        account = self._ledger.accounts[Use.CACHES]  # past its most by those that are making room
+        account.used += 1
         try:
             with anyio.fail_after(self._config.settings.connect_timeout or CONNECT_LIMIT):
-                sock = await connect(*where)
+                sock = await self._connect(where)
         except BaseException:
-            self._count -= 1
+            account.used -= 1
             raise
         link = _Link(sock, self._names)
         self._links.setdefault(member, []).append(link)
@@ -351,6 +353,19 @@
         self._tasks.start_soon(self._keep, member, link)
         return link
 
+    async def _connect(self, where: Address) -> socket.socket:
+        try:
+            return await connect(*where)
+        except OSError as fault:
+            if fault.errno not in (errno.EMFILE, errno.ENFILE):
+                raise
+        # The limit was lowered, or the system is short: idle clients leave within a tick, and this is for
+        # one.
+        self._warn.warning("no descriptor for a member", used=self._ledger.used)
+        self._ledger.resize(min(self._ledger.total, self._ledger.used - SHORT_BY))
+        await anyio.sleep(SHORT_FOR)
+        return await connect(*where)
+
     def _usable(self, member: api.MemberId, name: bytes) -> _Link | None:
         """The first with nothing open on it, so that the later ones end idle; else that with the least."""
         best: _Link | None = None
@@ -383,7 +398,7 @@
         except Exception:  # guards all other connections: what goes wrong with one ends that one only
             log.exception("cache connection failed", member=member.decode("latin-1"))
             end = End(How.CUT)
-        self._count -= 1
+        self._ledger.give(Use.CACHES)
         links = self._links[member]
         links.remove(link)
         if not links:
--- a/zincladder/net/clients.py
+++ b/zincladder/net/clients.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
-import itertools
 import math
 import re
 import socket
+import time
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 from time import monotonic
@@ -15,12 +15,15 @@
 import structlog
 from anyio.abc import TaskGroup
 
+from zincladder.admission.gate import Admission
+from zincladder.admission.model import Act, Decision, Seat, Why
 from zincladder.config import Config
 from zincladder.core.ends import How
 from zincladder.core.engine import DUE_MARGIN, Answer, Ask, Core
 from zincladder.net import thrift
+from zincladder.net.door import Door
 from zincladder.net.sparing import Sparing
-from zincladder.net.stream import Ended, Inbox, Outbox, Tally
+from zincladder.net.stream import Ended, Inbox, Outbox
 
 OPEN_AT_MOST = 32  # requests on one connection, as the protocol says
 TAKEN_BACK_MOST = 64  # requests taken back before they began, with no answer between them
@@ -28,12 +31,10 @@
 FIRST = 2.2  # seconds from connecting to the first whole message: a close is owed within 3
 STALL = 2.2  # for the rest of a frame, or for a reader of answers, to move on
 IDLE = 5.0  # without a request; clients close after 4 s, and one that keeps its connection is closed here
-SETTLED = 0.1  # seconds for which a connection is left alone whatever the crowd
 SWEEP = 0.2  # seconds between two looks at these
-CLIENTS_SHARE = 0.55  # of the descriptors; usual clients hold a third
-TURN = 32  # messages of one client, or connections, taken before the other tasks have their turn
+MEASURE = 1.0  # seconds between two measurements of what the loop costs
+TURN = 32  # messages of one client taken before the other tasks have their turn
 STAY = 0.8  # after SIGTERM clients go on coming for 0.6 s
-BEHIND = 0.04  # seconds that the event loop may be late before new requests are refused at once
 ID = re.compile(r"[0-9a-f]{16}", re.ASCII)
 TAG = re.compile(r"[0-9A-Za-z_-]{1,64}", re.ASCII)
 MOST_WRITE = 48_000  # bytes of a request's body
@@ -59,6 +60,7 @@
     """One connection of a client and the requests that are open on it."""
 
     sock: socket.socket
+    seat: Seat
     inbox: Inbox
     outbox: Outbox
     since: float
@@ -66,6 +68,7 @@
     scope: anyio.CancelScope = field(default_factory=anyio.CancelScope)
     open: dict[int, _Taken] = field(default_factory=dict)
     room: anyio.Event = field(default_factory=anyio.Event)
+    turn: anyio.Event = field(default_factory=anyio.Event)  # set when it may be read after a wait
     ended: bool = False
     spoke: bool = False  # a whole message has come
     frame_at: float = 0.0  # when the message that is coming began
@@ -77,47 +80,62 @@
         self.scope.cancel()
 
 
+class _Unread:
+    """Tells admission of the bytes that one client leaves unread."""
+
+    __slots__ = ("_admission", "_seat", "_sent", "_size")
+
+    def __init__(self, admission: Admission, seat: Seat) -> None:
+        self._admission, self._seat = admission, seat
+        self._size = self._sent = 0
+
+    def add(self, change: int) -> None:
+        self._size += change
+        if change > 0:
+            self._sent += change
+        self._admission.unread(self._seat, change)
+        if self._size == 0:
+            sent, self._sent = self._sent, 0
+            self._admission.read_out(self._seat, monotonic(), sent)
+
+
 class Clients:
     """The front's service on one listening socket."""
 
-    def __init__(self, config: Config, core: Core) -> None:
-        self._core, self._config = core, config
+    def __init__(self, config: Config, core: Core, admission: Admission) -> None:
+        self._core, self._config, self._admission = core, config, admission
         self._classes = {name: i for i, name in enumerate(config.names.classes)}
-        self._listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        self._listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        self._listener.setblocking(False)
-        self._listener.bind(config.listen)
-        self._listener.listen(1024)
-        self._clients: set[_Client] = set()
+        self._clients: dict[Seat, _Client] = {}
         self._traces: set[str] = set()  # of the requests that are open
-        self._unread = Tally()
-        self._active = 0  # clients with open requests
         self._changed = anyio.Event()
         self._accepting = anyio.CancelScope()
         self._warn = Sparing()
+        self._tasks: TaskGroup | None = None
+        self._door = Door(config.listen, admission, lambda: self._config.sockets, self._seat, self._evict)
         self.stopping = False
 
     def use(self, config: Config) -> None:
         """A configuration that was read again: its limits hold from now on."""
         self._config = config
+        self._door.measure()
 
     @property
     def address(self) -> tuple[str, int]:
-        host, port = self._listener.getsockname()
-        return host, port
+        return self._door.address
 
     async def run(self) -> None:
         """Accepts clients until `stop` has let the last request be answered."""
-        async with anyio.create_task_group() as tasks:
-            tasks.start_soon(self._sweep)
-            await self._accept(tasks)
+        self._core.on_tick = self._look
+        async with anyio.create_task_group() as self._tasks:
+            self._tasks.start_soon(self._sweep)
+            await self._door.run(self._accepting)
             while self._traces:  # each ends by its own deadline
                 self._changed = anyio.Event()
                 await self._changed.wait()
             with anyio.move_on_after(1.0):
-                while any(c.outbox.size for c in self._clients):
+                while any(c.outbox.size for c in self._clients.values()):
                     await anyio.sleep(0.01)
-            tasks.cancel_scope.cancel()
+            self._tasks.cancel_scope.cancel()
 
     async def stop(self, stopping: anyio.Event) -> None:
         """Guards a planned restart: says so to `status`, but takes what still comes for a while."""
@@ -127,66 +145,50 @@
         await anyio.sleep(STAY)
         self._accepting.cancel()
 
-    async def _accept(self, tasks: TaskGroup) -> None:
-        with self._accepting:
-            while True:
-                await self._admit(tasks)
-                await anyio.wait_readable(self._listener)
-        await self._admit(tasks)  # what the system had accepted before is served too
-        self._listener.close()
-
-    async def _admit(self, tasks: TaskGroup) -> None:
-        """Takes the connections that wait, as far as there is room for them."""
-        for taken in itertools.count(1):
-            most = max(1, int(self._config.sockets * CLIENTS_SHARE))
-            if len(self._clients) >= most:
-                if any(c.ended for c in self._clients):  # its descriptor is free only once it is closed
-                    await anyio.lowlevel.checkpoint()
-                elif not self._make_room():
-                    await anyio.sleep(
-                        0.005
-                    )  # they wait in the system's queue: nothing of theirs is lost there
-                    return
-                continue
-            try:
-                sock, _ = self._listener.accept()
-            except (BlockingIOError, InterruptedError):
-                return
-            except OSError as fault:  # a client that left again, or no descriptor: the rest goes on
-                self._warn.warning("accept failed", why=str(fault))
-                await anyio.sleep(0.01)
-                return
-            now = monotonic()
-            client = _Client(sock, Inbox(sock), Outbox(sock, self._unread), now, now)
-            self._clients.add(client)
-            tasks.start_soon(self._client, client)
-            if taken % TURN == 0:
-                await anyio.lowlevel.checkpoint()
-
-    def _make_room(self) -> bool:
-        """Guards the descriptors: whoever said nothing longest goes first, then whoever is idle longest.
-
-        Not a client that has just come or just been answered, whose request may be on its way or not read
-        yet; and never one with a request open, which would be lost.
-        """
-        recent = monotonic() - SETTLED
-        idle = [c for c in self._clients if not c.open and not c.outbox.size and c.used_at < recent]
-        if not idle:
-            self._warn.warning("too many clients", most=len(self._clients))
-            return False
-        client = min(idle, key=lambda c: (c.spoke, c.used_at))
-        self._core.counts["client_ends", "crowded"] += 1
+    def _seat(self, sock: socket.socket, decision: Decision) -> None:
+        now = monotonic()
+        seat = self._admission.seat(decision, now)
+        outbox = Outbox(sock, _Unread(self._admission, seat))
+        client = self._clients[seat] = _Client(sock, seat, Inbox(sock), outbox, now, now)
+        assert self._tasks is not None
+        self._tasks.start_soon(self._client, client)
+
+    def _evict(self, seat: Seat, why: Why) -> None:
+        client = self._clients.get(seat)
+        if client is None or client.ended:
+            return
+        if client.open:  # since it was chosen: it is owed an answer
+            seat.leaving = False
+            return
+        self._core.counts["client_ends", "crowded" if why is Why.FULL else why.value] += 1
         client.end()
-        return True
+
+    def _look(self) -> None:
+        """At each tick of the core: whose turn it is to be read, and who leaves."""
+        found = self._admission.look(monotonic(), self._core.behind)
+        for seat in found.wake:
+            client = self._clients.get(seat)
+            if client is not None:
+                client.turn.set()
+        for seat, why in found.end:
+            self._evict(seat, why)
+        self._door.look()
 
     async def _sweep(self) -> None:
         """Ends connections that say nothing, stop inside a message, or are used no more."""
+        cpu, measured_at = time.process_time(), monotonic()
         while True:
             await anyio.sleep(SWEEP)
             now = monotonic()
-            for c in [c for c in self._clients if not c.ended]:
+            if now - measured_at >= MEASURE:
+                used = time.process_time()
+                self._admission.measured(used - cpu)
+                cpu, measured_at = used, now
+                self._door.measure()
+            for c in [c for c in self._clients.values() if not c.ended]:
                 if (c.frame_at and now - c.frame_at > STALL) or (not c.spoke and now - c.since > FIRST):
                     self._warn.warning("client sent no whole message", open=len(c.open))
+                    self._admission.did(c.seat, Act.STALLED, now)
                     self._core.counts["client_ends", How.STALLED.name.lower()] += 1
                     c.end()
                 elif not c.open and not c.outbox.size and now - c.used_at > IDLE:
@@ -206,15 +208,19 @@
                         await self._reader(client, tasks)
                     except Ended as end:
                         self._core.counts["client_ends", end.how.name.lower()] += 1
+                        if client.open and end.how in (How.CLOSED, How.CUT):
+                            self._admission.did(client.seat, Act.ABANDONED, monotonic())
                         if end.how is How.GARBLED:
+                            self._admission.did(client.seat, Act.GARBLED, monotonic())
                             self._warn.warning("client ended", why=str(end), open=len(client.open))
                     client.end()  # the client is gone: nobody waits for what is open
         except Exception:  # guards all other clients: what goes wrong with one ends its connection only
             log.exception("client failed")
         finally:
-            self._clients.discard(client)
+            del self._clients[client.seat]
             client.outbox.forget()
             sock.close()
+            self._admission.gone(client.seat, monotonic())
 
     async def _writer(self, client: _Client) -> None:
         try:
@@ -222,6 +228,7 @@
         except Ended as end:
             self._core.counts["client_ends", end.how.name.lower()] += 1
             if end.how is How.STALLED:
+                self._admission.did(client.seat, Act.STALLED, monotonic())
                 self._warn.warning("client does not read", why=str(end), open=len(client.open))
             client.end()
 
@@ -236,7 +243,14 @@
             if turn % TURN == 0:
                 await anyio.lowlevel.checkpoint()
             await inbox.some()
-            client.frame_at = monotonic()
+            now = monotonic()
+            if not self._admission.may_read(client.seat, now):
+                # Guards the loop: what is over its source's share stays unread, at last in the client's
+                # system.
+                client.turn = anyio.Event()
+                await client.turn.wait()
+            client.frame_at, came = monotonic(), self._core.clock.now()
+            came -= client.frame_at - now
             size = int.from_bytes(await inbox.exactly(4), "big")
             if not 0 < size <= thrift.MOST_FRAME:
                 raise Ended(How.GARBLED, f"a frame of {size} bytes")
@@ -246,6 +260,8 @@
             except thrift.Malformed as fault:
                 raise Ended(How.GARBLED, str(fault)) from None
             client.frame_at, client.spoke, client.used_at = 0.0, True, monotonic()
+            if call.verb != "handle":
+                self._admission.told(client.seat, client.used_at)
             if call.verb == "withdraw":
                 self._withdraw(client, call.number)
             elif call.verb == "status":
@@ -266,13 +282,12 @@
                 raise Ended(How.GARBLED, f"more than {OPEN_AT_MOST} requests open")
             else:
                 last = call.seq
-                self._take(client, call, tasks)
+                self._take(client, call, came, tasks)
 
     def _withdraw(self, client: _Client, seq: int) -> None:
         taken = client.open.pop(seq, None)
         if taken is None:  # it crossed the answer, which stands
             return
-        self._active -= not client.open
         taken.back = True
         if taken.begun:
             taken.scope.cancel()
@@ -281,42 +296,33 @@
         if client.taken_back > TAKEN_BACK_MOST:
             raise Ended(How.GARBLED, f"{client.taken_back} requests taken back before they began")
 
-    def _take(self, client: _Client, call: thrift.Call, tasks: TaskGroup) -> None:
-        arrived = self._core.clock.now()
+    def _take(self, client: _Client, call: thrift.Call, came: float, tasks: TaskGroup) -> None:
         try:
-            ask = self._ask(call.fields, call.body, arrived)
+            ask = self._ask(call.fields, call.body, came)
         except BadFields as fault:
             self._warn.warning("request not understood", why=str(fault))
             self._core.counts["answers", "unusable"] += 1
+            self._admission.told(client.seat, client.used_at)
             client.outbox.put(
                 thrift.application_exception("handle", call.seq, thrift.PROTOCOL_ERROR, str(fault))
             )
             return
-        if self._crowded(client):
-            # Guards the memory limit, which a request with its body counts against. The settings' own ceiling
-            # is kept here too: what is past it never reaches the module.
+        why = self._admission.may_open(client.seat, client.used_at)
+        if why is not Why.NONE:
+            # Guards the memory limit, which a request with its body counts against, and the loop. The
+            # settings' own ceiling is kept here too: what is past it never reaches the module.
             open_now, behind = len(self._traces), round(self._core.behind, 3)
-            self._warn.warning("too much to do", open=open_now, most=self._config.most_open, behind=behind)
+            most = self._config.most_open
+            self._warn.warning("too much to do", why=why.value, open=open_now, most=most, behind=behind)
             self._core.counts["answers", "refused"] += 1
             pause = self._core.settings.max_retry_after
             client.outbox.put(_reply(call.seq, Answer("refused", retry_after=pause)))
             return
-        self._active += not client.open
+        self._admission.opened(client.seat)
         taken = client.open[call.seq] = _Taken()
         self._traces.add(ask.trace)
         tasks.start_soon(self._request, client, call.seq, ask, taken)
 
-    def _crowded(self, client: _Client) -> bool:
-        """Past half of what may be open each client has an even share of the whole, and at least one."""
-        most, here = self._config.most_open, len(client.open)
-        if self._core.behind > BEHIND:
-            # Guards what is open against a rate past this front's part of a core: a refusal costs far less
-            # than a request, and one that waits for its turn ends too late for anybody.
-            return True
-        if len(self._traces) >= most or self._unread.size > self._config.most_unread:
-            return True
-        return len(self._traces) >= most / 2 and here > 0 and here >= most / max(1, self._active)
-
     def _ask(self, fields: Mapping[str, str], body: bytes, arrived: float) -> Ask:
         def number(name: str, least: int, most: int) -> int:
             text = fields.get(name, "")
@@ -361,6 +367,7 @@
         return ask
 
     async def _request(self, client: _Client, seq: int, ask: Ask, taken: _Taken) -> None:
+        served = False
         try:
             if taken.back or client.ended:
                 return  # taken back, or its client turned away, before it began: the module never hears of it
@@ -369,6 +376,7 @@
                 answer = await self._core.serve(ask)
                 if client.open.get(seq) is taken:  # else it was withdrawn meanwhile: no answer is owed
                     client.taken_back = 0
+                    served = answer.kind == "served"
                     client.outbox.put(_reply(seq, answer))
         except Exception:
             log.exception("request failed", trace=ask.trace)  # the process and its other requests go on
@@ -376,8 +384,8 @@
         finally:
             if client.open.get(seq) is taken:
                 del client.open[seq]
-                self._active -= not client.open
             client.used_at = monotonic()
+            self._admission.closed(client.seat, client.used_at, served)
             self._traces.discard(ask.trace)
             client.room.set()
             self._changed.set()
--- /dev/null
+++ b/zincladder/net/door.py
@@ -0,0 +1,188 @@
+"""The client listener: takes connections, and carries out what admission says of each."""
+
+from __future__ import annotations
+
+import contextlib
+import errno
+import itertools
+import os
+import resource
+import socket
+import struct
+from collections import deque
+from collections.abc import Callable
+from time import monotonic
+
+import anyio
+import anyio.lowlevel
+
+from zincladder.admission.gate import Admission, Gate
+from zincladder.admission.model import Decision, Seat, Verdict, Why
+from zincladder.config import Address
+from zincladder.net.sparing import Sparing
+from zincladder.net.stream import family
+
+TURN = 32  # connections taken before the other tasks have their turn
+SHORT = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)  # accept(2): the system has none to give
+PAUSES = (0.01, 0.2)  # seconds for which the listener rests then, doubled from the first to the second
+SHORT_BY = 4  # descriptors that are made free then, for members and the feed too
+WAIT = 0.005
+LOBBY_FOR = 0.5  # seconds that a connection may wait for a seat
+RESET = struct.pack("ii", 1, 0)  # SO_LINGER: an end that leaves nothing behind (no TIME_WAIT)
+
+
+def listener(where: Address) -> socket.socket:
+    """A listening socket over IPv4 or IPv6; '::' takes both."""
+    sock = socket.socket(family(where[0]), socket.SOCK_STREAM)
+    try:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        if sock.family == socket.AF_INET6:
+            sock.setsockopt(socket.IPPROTO_IPV6, socket.IPV6_V6ONLY, where[0] != "::")
+        sock.setblocking(False)
+        sock.bind(where)
+        sock.listen(1024)
+    except OSError:
+        sock.close()
+        raise
+    return sock
+
+
+def turn_away(sock: socket.socket) -> None:
+    """Ends a connection at the least cost to this side."""
+    with contextlib.suppress(OSError):
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+    sock.close()
+
+
+class Door:
+    """Takes what waits in the system's queue and hands on what gets a seat."""
+
+    def __init__(
+        self,
+        listen: Address,
+        admission: Admission,
+        sockets: Callable[[], int],
+        seat: Callable[[socket.socket, Decision], None],
+        evict: Callable[[Seat, Why], None],
+    ) -> None:
+        self._listener = listener(listen)
+        self._admission, self._sockets, self._seat, self._evict = admission, sockets, seat, evict
+        self._spare: int | None = os.open(os.devnull, os.O_RDONLY | os.O_CLOEXEC)
+        self._pause = PAUSES[0]
+        self._lobby: deque[tuple[socket.socket, Decision, float]] = deque()
+        self._warn = Sparing()
+
+    @property
+    def address(self) -> Address:
+        host, port, *_ = self._listener.getsockname()
+        return host, port
+
+    async def run(self, accepting: anyio.CancelScope) -> None:
+        """Takes connections until `accepting` is cancelled, and what the system had taken before that."""
+        try:
+            with accepting:
+                while True:
+                    await self._admit()
+                    await anyio.wait_readable(self._listener)
+            await self._admit()
+        finally:
+            self._listener.close()
+            while self._lobby:
+                turn_away(self._lobby.popleft()[0])
+            if self._spare is not None:
+                os.close(self._spare)
+                self._spare = None
+
+    async def _admit(self) -> None:
+        admission = self._admission
+        for taken in itertools.count(1):
+            now = monotonic()
+            first = admission.ready(now)
+            if first.verdict is not Verdict.ADMIT:
+                if first.evict is not None:
+                    self._evict(first.evict, Why.FULL)
+                if first.why is Why.NONE:  # a descriptor is about to be free
+                    await anyio.lowlevel.checkpoint()
+                    continue
+                self._warn.warning("too many clients")
+                await anyio.sleep(WAIT)  # they wait in the system's queue: nothing of theirs is lost there
+                return
+            try:
+                sock, peer = self._listener.accept()
+            except (BlockingIOError, InterruptedError):
+                return
+            except OSError as fault:
+                if fault.errno in SHORT:
+                    await self._short(fault)
+                    return
+                # A client that left again; accept(2) names more such faults, and all concern that one alone.
+                self._warn.warning("accept failed", why=str(fault))
+                await anyio.lowlevel.checkpoint()
+                continue
+            self._judge(sock, admission.connect(peer[0], now), now)
+            if taken % TURN == 0:
+                await anyio.lowlevel.checkpoint()
+
+    def _judge(self, sock: socket.socket, decision: Decision, now: float) -> None:
+        if decision.verdict is Verdict.ADMIT:
+            self._seat(sock, decision)
+        elif decision.verdict is Verdict.TURN_AWAY:
+            turn_away(sock)
+            self._warn.warning("connection turned away", why=decision.why.value)
+        else:
+            if decision.evict is not None:
+                self._evict(decision.evict, decision.why)
+            assert isinstance(self._admission, Gate)
+            if len(self._lobby) < self._admission.limits.lobby:
+                self._lobby.append((sock, decision, now))
+            else:
+                self._admission.given_up(decision)
+                turn_away(sock)
+
+    def look(self) -> None:
+        """Tries the lobby again, oldest first, and ends who has waited for too long."""
+        for _ in range(len(self._lobby)):
+            sock, decision, since = self._lobby.popleft()
+            now = monotonic()
+            assert isinstance(self._admission, Gate)
+            again = self._admission.again(decision, now)
+            if again.verdict is Verdict.WAIT and now - since <= LOBBY_FOR:
+                if again.evict is not None:
+                    self._evict(again.evict, again.why)
+                self._lobby.append((sock, decision, since))
+            elif again.verdict is Verdict.WAIT:
+                self._admission.given_up(decision)
+                turn_away(sock)
+            else:
+                self._judge(sock, again, now)
+
+    def measure(self) -> None:
+        """Guards against a limit that was changed from outside: the lesser of it and the configured one
+        holds.
+        """
+        soft, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+        total = min(self._sockets(), soft) if soft >= 0 else self._sockets()
+        if total != self._admission.ledger.total:
+            self._admission.ledger.resize(total)
+
+    async def _short(self, fault: OSError) -> None:
+        """No descriptor is left. One that waits is ended by the spare, so that the queue doesn't stay as it
+        is.
+
+        Guards against going round for ever on a listener that stays readable: it rests, longer each time.
+        """
+        self._warn.warning("no descriptor left", why=str(fault), used=self._admission.ledger.used)
+        tallies = self._admission.tallies
+        tallies.turned[Why.EXHAUSTED] = tallies.turned.get(Why.EXHAUSTED, 0) + 1
+        ledger = self._admission.ledger
+        ledger.resize(min(ledger.total, ledger.used - SHORT_BY))  # evicts; `measure` restores it
+        if self._spare is not None:
+            os.close(self._spare)
+            self._spare = None
+        with contextlib.suppress(OSError):
+            for _ in range(TURN):
+                turn_away(self._listener.accept()[0])
+        with contextlib.suppress(OSError):
+            self._spare = os.open(os.devnull, os.O_RDONLY | os.O_CLOEXEC)
+        await anyio.sleep(self._pause)
+        self._pause = min(2 * self._pause, PAUSES[1]) if self._spare is None else PAUSES[0]
--- a/zincladder/net/stream.py
+++ b/zincladder/net/stream.py
@@ -7,6 +7,7 @@
 import socket
 from collections import deque
 from collections.abc import Callable, Sequence
+from typing import Protocol
 
 import anyio
 
@@ -130,21 +131,25 @@
         self.done: Callable[[], None] | None = None
 
 
-class Tally:
-    """Bytes that wait in several outboxes together."""
+class Counter(Protocol):
+    """Counts the bytes that wait in an outbox."""
 
-    __slots__ = ("size",)
+    def add(self, change: int) -> None: ...
 
-    def __init__(self) -> None:
-        self.size = 0
+
+class Nobody:
+    """Counts nothing."""
+
+    def add(self, change: int) -> None:
+        """What waits here concerns no one else."""
 
 
 class Outbox:
     """Messages to one peer, in order. One that has begun is written whole or the connection ends."""
 
-    def __init__(self, sock: socket.socket, tally: Tally | None = None) -> None:
+    def __init__(self, sock: socket.socket, counter: Counter | None = None) -> None:
         self._sock = sock
-        self._tally = tally or Tally()
+        self._counter: Counter = counter or Nobody()
         self._queue: deque[Entry] = deque()
         self._news = anyio.Event()
         self.ended: Ended | None = None
@@ -169,12 +174,13 @@
 
     def _grow(self, change: int) -> None:
         self.size += change
-        self._tally.size += change
+        self._counter.add(change)
 
     def forget(self) -> None:
         """The connection has ended: what still waits will not be written."""
         self._queue.clear()
-        self._grow(-self.size)
+        if self.size:
+            self._grow(-self.size)
 
     def drop(self, entry: Entry) -> bool:
         """Takes back a message of which no byte was written; False if one was."""
@@ -249,9 +255,14 @@
             self._flush()
 
 
+def family(host: str) -> socket.AddressFamily:
+    """The family of an address in text."""
+    return socket.AF_INET6 if ":" in host else socket.AF_INET
+
+
 async def connect(host: str, port: int) -> socket.socket:
     """A connection, or OSError; cancelling it closes the socket."""
-    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    sock = socket.socket(family(host), socket.SOCK_STREAM)
     try:
         sock.setblocking(False)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
