Keep samples through outages and crashes, tell silent caches by name, measure admission whole

Need: remote write knew 1.0 and a queue of pushes in memory, so a restart or a longer outage lost all of it; no figure named a cache that takes requests and answers none; beside a flood the known waited behind lumps of work.

The common account of loop time is given out in small parts, and what connections cost comes out of it and not out of the newcomers' lane.

--- a/benchmarks/decisions.py
+++ b/benchmarks/decisions.py
@@ -41,6 +41,7 @@
         g.opened(seat)
         g.closed(seat, now, True)
         g.gone(seat, now)
+        g.look(now, 0.0)
     return now
 
 
--- /dev/null
+++ b/benchmarks/export.py
@@ -0,0 +1,140 @@
+"""What export costs a front whose receiver is dead, and how fast a spool is replayed.
+
+    python -m benchmarks.export [--quick] [--out DIR] [--rounds N]
+
+'off' has no receiver; 'stalled' pushes each second to one that takes connections and never answers; 'taken'
+to one that takes all. Versions run in turn, each figure is the median of the rounds. The spool's rate is that
+of writing, reading, compressing and marking batches, without a network.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import contextlib
+import json
+import statistics
+import sys
+import tempfile
+import time
+from collections.abc import AsyncIterator
+from pathlib import Path
+from typing import Any
+
+import uvloop
+
+from benchmarks import rig
+from zincladder.export import messages
+from zincladder.export.spool import Spool
+from zincladder.metrics.registry import Sample
+
+
+@contextlib.asynccontextmanager
+async def receiver(stalled: bool) -> AsyncIterator[int]:
+    async def take(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+            if stalled:
+                await asyncio.sleep(3600)
+            head = (await reader.readuntil(b"\r\n\r\n")).lower()
+            await reader.readexactly(int(head.partition(b"content-length:")[2].split(b"\r\n")[0]))
+            writer.write(b"HTTP/1.1 204 No Content\r\nConnection: close\r\n\r\n")
+            await writer.drain()
+        writer.close()
+
+    server = await asyncio.start_server(take, "127.0.0.1", 0)
+    yield server.sockets[0].getsockname()[1]
+    server.close()
+
+
+async def play(ports: list[int], operator: str, rate: float, seconds: float) -> dict[str, float]:
+    async with rig.front(ports, operator=operator) as front:
+        homes = [f"127.0.1.{i}" for i in range(1, 17)]
+        warm, count = rig.Count(), rig.Count()
+        until = time.monotonic() + 2.0
+        await asyncio.gather(*(rig.UsualClient(front, h, rate / 16, warm).run(until) for h in homes))
+        before, until = front.cpu(), time.monotonic() + seconds
+        await asyncio.gather(*(rig.UsualClient(front, h, rate / 16, count).run(until) for h in homes))
+        return {
+            "served": count.served,
+            "p99_ms": count.quantile(0.99),
+            "request_us": (front.cpu() - before) / count.asked * 1e6,
+            "rss_mb": front.usage.rss_mb,
+        }
+
+
+def series(count: int) -> list[Sample]:
+    labels = [(("cache", f"s-{i:08x}"), ("front", "n1")) for i in range(count)]
+    return [Sample("zincladder_cache_attempts_total", pair, float(i)) for i, pair in enumerate(labels)]
+
+
+def spool(batches: int) -> dict[str, float]:
+    payload, _ = messages.batch(series(400), 1, 1)
+    with tempfile.TemporaryDirectory() as folder:
+        kept = Spool(Path(folder), 1 << 30)
+        began = time.perf_counter()
+        for i in range(batches):
+            kept.put(i, payload)
+        wrote, sent = time.perf_counter() - began, 0
+        began = time.perf_counter()
+        while (first := kept.first()) is not None:
+            messages.on_the_wire(first.payload, 2)
+            kept.done(first)
+            sent += 1
+        read = time.perf_counter() - began
+        kept.close()
+    assert sent == batches
+    size = batches * len(payload) / 1e6
+    return {"batch_kb": round(len(payload) / 1e3, 1), "written_mb_s": round(size / wrote, 1),
+            "replayed_mb_s": round(size / read, 1)}  # fmt: skip
+
+
+def push_sizes() -> dict[str, dict[str, int]]:
+    found = {}
+    for count in (100, 2000):
+        payload, _ = messages.batch(series(count), 1_764_576_000_000, 1_764_570_000_000)
+        found[f"{count} series"] = {f"{v}.0": len(messages.on_the_wire(payload, v)[0]) for v in (1, 2)}
+    return found
+
+
+async def main() -> int:
+    parser = argparse.ArgumentParser(
+        description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter
+    )
+    parser.add_argument("--quick", action="store_true", help="one short round")
+    parser.add_argument("--out", type=Path, help="keep a table here")
+    parser.add_argument("--rounds", type=int, default=3)
+    parser.add_argument("--rate", type=float, default=200.0, help="requests a second")
+    options = parser.parse_args()
+    rounds, seconds = (1, 2.0) if options.quick else (options.rounds, 6.0)
+    found: dict[str, list[dict[str, float]]] = {"off": [], "stalled": [], "taken": []}
+    async with rig.members() as ports, receiver(True) as dead, receiver(False) as alive:
+        for _ in range(rounds):
+            for name, port in (("off", 0), ("stalled", dead), ("taken", alive)):
+                push = f'[remote_write]\nurl = "http://127.0.0.1:{port}/w"\nevery_s = 1\n' if port else ""
+                found[name].append(await play(ports, "[admission]\n" + push, options.rate, seconds))
+    result: dict[str, Any] = {
+        name: {key: round(statistics.median(r[key] for r in runs), 3) for key in runs[0]}
+        for name, runs in found.items()
+    }
+    result["spool"] = spool(100 if options.quick else 1000)
+    result["push_bytes"] = push_sizes()
+    if options.out:
+        options.out.mkdir(parents=True, exist_ok=True)
+        lines = ["| | served | p99 ms | CPU of a request, µs | MB |", "|---|---|---|---|---|"]
+        for name in found:
+            r = result[name]
+            cells = (
+                f"{r['served']:.3f}",
+                f"{r['p99_ms']:.1f}",
+                f"{r['request_us']:.0f}",
+                f"{r['rss_mb']:.1f}",
+            )
+            lines.append(f"| {name} | {' | '.join(cells)} |")
+        (options.out / "export.md").write_text("\n".join(lines) + "\n")
+    print(json.dumps(result))
+    return 0
+
+
+if __name__ == "__main__":
+    uvloop.install()
+    sys.exit(asyncio.run(main()))
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -15,6 +15,7 @@
 from zincladder import interface as api
 from zincladder.core.ends import RESULTS, End, How
 from zincladder.core.engine import Answer, Ask, Core, Order
+from zincladder.core.figures import Figures
 from zincladder.net.stream import Ended, Inbox, Outbox
 
 pytestmark = pytest.mark.anyio
@@ -217,3 +218,24 @@
         with pytest.raises(Ended) as caught:
             await Inbox(theirs).line(4096)
         assert caught.value.how is How.GARBLED
+
+
+def test_silence_is_told_of_who_is_asked_and_says_nothing() -> None:
+    figures, one, other = Figures(), b"s-1", b"s-2"
+    figures.keep_only({m: api.Member(m, 0, 0) for m in (one, other)})
+    for i in range(50):  # both are asked all the time; one says nothing, of the other a copy is called off
+        now = 10.0 + i * 0.1
+        figures.asked(one, now, 0)
+        figures.ended(one, How.SILENT)
+        figures.asked(other, now, 0)
+        figures.ended(other, How.CALLED_OFF if i % 2 else How.SERVED)
+    assert figures.silent(one, 15.0) == pytest.approx(4.9) and figures.silent(other, 15.0) == 0.0
+    # Called off and then not asked any more: the time stands still, and is forgotten.
+    assert figures.silent(other, 20.0) == 0.0 and figures.silent(one, 20.0) == pytest.approx(4.9)
+    assert figures.silent(one, 60.0) == 0.0
+    figures.probed(one, How.SERVED, 0.001, (0.5,), 20.0)
+    assert figures.silent(one, 20.0) == 0.0 and figures.members[one].probe_seconds == 0.001
+    figures.keep_only({other: api.Member(other, 0, 0)})  # gone, with an attempt that ends later
+    figures.ended(one, How.CUT)
+    figures.asked(one, 21.0, 0)
+    assert list(figures.members) == [other]
--- a/zincladder/__main__.py
+++ b/zincladder/__main__.py
@@ -14,6 +14,7 @@
 from collections.abc import Callable, Iterator
 from dataclasses import asdict, dataclass, replace
 from functools import partial
+from typing import TYPE_CHECKING
 
 import anyio
 import structlog
@@ -30,10 +31,13 @@
 from zincladder.net.clients import Clients
 from zincladder.net.feed import Feed, Listed, News, known_news
 
+if TYPE_CHECKING:
+    from zincladder.export.sender import RemoteWrite
 if sys.modules["rich"] is None:
     del sys.modules["rich"]
 TAKEN = ("coordinator", "memory_mb", "sockets", "most_open", "most_unread")  # on SIGHUP
 FIXED = ("name", "listen", "settings", "names", "idle_close", "streams")  # at the next start only
+FLUSH = 0.5  # seconds after the last answer for the last samples to be sent
 log = structlog.get_logger()
 
 
@@ -143,6 +147,7 @@
     clients = Clients(config, core, admission)
     feed: Feed | None = None
     where_dns = where_metrics = None
+    pushes: list[RemoteWrite] = []
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(clients.stop, stopping)
         tasks.start_soon(caches.run)
@@ -176,17 +181,25 @@
         if operator.metrics or operator.remote_write:
             from zincladder.metrics.endpoint import Endpoint
             from zincladder.metrics.registry import Registry
-            from zincladder.metrics.remote_write import RemoteWrite
 
-            registry = Registry(core, config.name, lambda: feed is not None and feed.connected, admission)
+            registry = Registry(
+                core,
+                config.name,
+                lambda: feed is not None and feed.connected,
+                admission,
+                config.names.classes,
+            )
             if operator.metrics:
                 where_metrics = await tasks.start(Endpoint(operator.metrics, registry, admission).run)
             if operator.remote_write:
+                from zincladder.export.sender import RemoteWrite
 
-                def count(outcome: str) -> None:
-                    core.counts["remote_write", outcome] += 1
+                def count(outcome: str, many: int) -> None:
+                    core.counts["remote_write", outcome] += many
 
-                tasks.start_soon(RemoteWrite(operator.remote_write, registry, count).run)
+                pushes = [RemoteWrite(to, registry.samples, count) for to in operator.remote_write]
+                for push in pushes:
+                    tasks.start_soon(push.run)
         listening = Listening(clients.address, where_dns, where_metrics)
         log.info(
             "ready",
@@ -199,6 +212,9 @@
         )
         task_status.started(listening)
         await clients.run()
+        async with anyio.create_task_group() as flushing:
+            for push in pushes:
+                flushing.start_soon(push.finish, FLUSH)
         tasks.cancel_scope.cancel()
     log.info("ended", answers={k[1]: n for k, n in core.counts.items() if k[0] == "answers"})
 
--- a/zincladder/admission/gate.py
+++ b/zincladder/admission/gate.py
@@ -149,7 +149,7 @@
         self._listed: NetworkMap[Network] = NetworkMap()
         self._blocked: NetworkMap[float] = NetworkMap()  # until when
         self._rates = RateSketch(seed)
-        self._one, self._net = 1 / limits.rate, 1 / limits.network_rate
+        self._pace_newcomers()
         self._responses = Responses(limits.dns_rate, limits.dns_burst, seed + 1)
         self._visits: dict[tuple[Use, int], int] = {}  # to other listeners, bounded by their descriptors
         self._net_seats: dict[int, int] = {}  # by network, of those that have any
@@ -169,12 +169,18 @@
     def use(self, limits: Limits) -> None:
         """Other limits from now on. What is open past a lowered cap stays until it has been answered."""
         self.limits = limits
-        self._one, self._net = 1 / limits.rate, 1 / limits.network_rate
+        self._pace_newcomers()
         self.sources.most = limits.sources
         self.shares.weigh(limits.known_share, limits.new_share)
         self._responses.use(limits.dns_rate, limits.dns_burst)
         self._list()
 
+    def _pace_newcomers(self) -> None:
+        """Their rates as intervals and the most that one may be ahead, for an address and a network."""
+        limits = self.limits
+        self._one = 1 / limits.rate, limits.burst / limits.rate
+        self._net = 1 / limits.network_rate, limits.network_burst / limits.network_rate
+
     def _list(self) -> None:
         self._listed, self._blocked = NetworkMap(), NetworkMap()
         for network in self.limits.networks:
@@ -295,13 +301,12 @@
     def _in_rate(self, key: int, lane: Lane, listed: Network | None, now: float) -> bool:
         limits, rates = self.limits, self._rates
         if lane is NEW:
-            one, net, burst = self._one, self._net, limits.network_burst
             if key & 0xFF == V4:
-                around, wide = key >> 16 << 8 | V4_24, key >> 24 << 8 | V4_16
-                each = (key, one, limits.burst), (around, net, burst), (wide, net / 4, burst * 4)
-                return rates.conforms_each(each, now)
-            around = key >> 24 << 8 | V6_48
-            return rates.conforms_each(((key, one, limits.burst), (around, net, burst)), now)
+                wide = key >> 24 << 8 | V4_16
+                return rates.conforms_both(key, key >> 16 << 8 | V4_24, now, self._one, self._net) and (
+                    rates.conforms(wide, now, self._net[0] / 4, 4 * limits.network_burst)
+                )
+            return rates.conforms_both(key, key >> 24 << 8 | V6_48, now, self._one, self._net)
         if lane is KNOWN:
             return rates.conforms(key, now, 0.25 / limits.rate, 4 * limits.burst)
         if lane is LIMITED:
@@ -337,7 +342,7 @@
 
     def _turn(self, key: int, lane: Lane, why: Why) -> Decision:
         self.tallies.turned[why] = self.tallies.turned.get(why, 0) + 1
-        self.shares.charge(lane, cost.TURNED)
+        self.shares.spend(cost.TURNED)
         return Decision(TURN_AWAY, why, key, lane)
 
     def given_up(self, decision: Decision) -> None:
@@ -357,7 +362,7 @@
         self._present += source.held == 0
         self.sources.hold(source)
         self._net_seats[source.net] = self._net_seats.get(source.net, 0) + 1
-        self.shares.charge(lane, cost.CONNECTION)
+        self.shares.spend(cost.CONNECTION)
         seat = Seat(source, lane, now)
         self.rows.idle(seat, now)
         return seat
@@ -419,6 +424,8 @@
     # Messages and requests --------------------------------------------------------------------
 
     def may_read(self, seat: Seat, now: float) -> bool:
+        if seat in self._waiting:
+            return False
         lane = self.lane_of(seat.source, now)
         if lane is not seat.lane:
             self._move(seat, lane, now)
--- a/zincladder/admission/rate.py
+++ b/zincladder/admission/rate.py
@@ -2,12 +2,9 @@
 
 from __future__ import annotations
 
-from array import array
-from collections.abc import Iterable
-
 CELLS = 1 << 12  # of each row: both together stay in a core's nearest caches
 MASK = CELLS - 1
-EMPTY = array("d", [float("-inf")]) * CELLS
+EMPTY = [float("-inf")] * CELLS
 
 
 class RateSketch:
@@ -50,24 +47,42 @@
             self._second[j] = tat
         return True
 
-    def conforms_each(self, rates: Iterable[tuple[int, float, int]], now: float) -> bool:
-        """Whether each key conforms to its interval and burst; the first that doesn't ends the count."""
-        seed, one, two = self._seed, self._first, self._second
-        for key, interval, burst in rates:
-            # `conforms`, written out: this is asked for every connection of a flood.
-            mixed = hash((key, seed))
-            i, j = mixed & MASK, mixed >> 40 & MASK
-            first, second = one[i], two[j]
-            tat = first if first < second else second
-            if tat < now:
-                tat = now
-            elif tat - now > burst * interval:
-                return False
-            tat += interval
-            if first < tat:
-                one[i] = tat
-            if second < tat:
-                two[j] = tat
+    def conforms_both(
+        self, key: int, around: int, now: float, one: tuple[float, float], net: tuple[float, float]
+    ) -> bool:
+        """Whether an address and its network conform, each given as an interval and the most to be ahead.
+
+        `conforms` twice, written out: this is asked for every connection of a flood.
+        """
+        first, second = self._first, self._second
+        interval, most = one
+        mixed = hash((key, self._seed))
+        i, j = mixed & MASK, mixed >> 40 & MASK
+        a, b = first[i], second[j]
+        tat = a if a < b else b
+        if tat < now:
+            tat = now
+        elif tat - now > most:
+            return False
+        tat += interval
+        if a < tat:
+            first[i] = tat
+        if b < tat:
+            second[j] = tat
+        interval, most = net
+        mixed = hash((around, self._seed))
+        i, j = mixed & MASK, mixed >> 40 & MASK
+        a, b = first[i], second[j]
+        tat = a if a < b else b
+        if tat < now:
+            tat = now
+        elif tat - now > most:
+            return False
+        tat += interval
+        if a < tat:
+            first[i] = tat
+        if b < tat:
+            second[j] = tat
         return True
 
 
--- a/zincladder/admission/shares.py
+++ b/zincladder/admission/shares.py
@@ -21,6 +21,7 @@
 CONNECTION = 450e-6
 TURNED = 30e-6
 BURST = 0.03  # seconds of loop time that an account holds at most, times its share
+GIVEN = 0.006  # of the common account to a lane that waits, at each look
 QUANTUM = REQUEST
 LATE = 0.025  # seconds by which the loop may be late before less is let in
 LEAST_RATE, MOST_RATE = 0.08, 0.9  # loop seconds a second
@@ -108,14 +109,23 @@
         return True
 
     def charge(self, lane: Lane, cost: float) -> None:
-        """What a source cost beside its paid messages; negative gives back what was paid too much."""
+        """What a source cost beside its paid messages; negative gives back what was paid too much.
+
+        Debts are bounded, so that what one source of a lane cost is not owed by the others for long.
+        """
         cost *= self.pace
         self._modelled += cost
         queue = self._queues[lane]
-        if queue.credit > 0.0 or self._spare <= 0.0:
-            queue.credit -= cost
-        else:
-            self._spare -= cost
+        queue.credit = max(-BURST, queue.credit - cost)
+
+    def spend(self, cost: float) -> None:
+        """What connections cost, which nobody asks for beforehand: it comes out of what all share.
+
+        Not of a lane: newcomers who behave would pay for those that are turned away beside them.
+        """
+        cost *= self.pace
+        self._modelled += cost
+        self._spare = max(-BURST, self._spare - cost)
 
     def wait(self, seat: Seat) -> None:
         """Puts a seat in line, once."""
@@ -167,7 +177,9 @@
             self._serve(queue, let)
         for queue in self._each:
             if queue.waiting and self._spare > 0.0:
-                queue.credit, self._spare = queue.credit + self._spare, 0.0
+                # A little at a time: whoever comes next must not wait behind all that was saved up.
+                given = min(self._spare, GIVEN)
+                queue.credit, self._spare = queue.credit + given, self._spare - given
                 self._serve(queue, let)
             over = queue.credit - BURST * queue.share
             if over > 0.0:
--- a/zincladder/config/__init__.py
+++ b/zincladder/config/__init__.py
@@ -276,13 +276,17 @@
 
 @dataclass(frozen=True, slots=True)
 class RemoteWriteConfig:
-    """Where samples are pushed to, and how many may wait."""
+    """One receiver of samples, and what is kept for it while it does not take them."""
 
     host: str
     port: int
     path: str
-    every: float
-    queue: int
+    every: float = 15.0
+    most_bytes: int = 1 << 20  # in memory
+    spool: str | None = None  # a folder
+    spool_bytes: int = 64 << 20
+    version: int = 2  # of the protocol, to begin with
+    replay_bytes_per_s: float = 1e6
 
 
 @dataclass(frozen=True, slots=True)
@@ -291,7 +295,7 @@
 
     dns: DnsConfig | None = None
     metrics: Address | None = None
-    remote_write: RemoteWriteConfig | None = None
+    remote_write: tuple[RemoteWriteConfig, ...] = ()
     admission: Limits | None = None
     control: str | None = None  # the path of the unix socket that operators' commands use
 
--- a/zincladder/config/operator.py
+++ b/zincladder/config/operator.py
@@ -58,11 +58,15 @@
 
 
 class RemoteWriteTable(msgspec.Struct, forbid_unknown_fields=True):
-    """[remote_write]"""
+    """[remote_write], or [[remote_write]] for several receivers"""
 
     url: str
     every_s: Positive = 15.0
-    queue: Count = 64
+    queue_kb: Annotated[int, Meta(ge=16, le=1 << 20)] = 1024
+    spool: Annotated[str, Meta(min_length=1)] | None = None
+    spool_mb: Annotated[int, Meta(ge=1, le=1 << 16)] = 64
+    version: Annotated[int, Meta(ge=1, le=2)] = 2
+    replay_kb_per_s: Positive = 1000.0
 
 
 class ControlTable(msgspec.Struct, forbid_unknown_fields=True):
@@ -167,7 +171,7 @@
     return DnsConfig(listen, zone, dns.deadline_ms / 1000, tuple(hosts))
 
 
-def _remote_write(table: RemoteWriteTable) -> RemoteWriteConfig:
+def _remote_write(table: RemoteWriteTable, key: str) -> RemoteWriteConfig:
     try:
         url = urlsplit(table.url)
         good = url.scheme == "http" and bool(url.hostname)
@@ -175,8 +179,35 @@
     except ValueError:
         good = False
     if not good:
-        raise ConfigError("'remote_write.url' must be like http://127.0.0.1:9090/api/v1/write")
-    return RemoteWriteConfig(str(url.hostname), port, url.path or "/", table.every_s, table.queue)
+        raise ConfigError(f"'{key}.url' must be like http://127.0.0.1:9090/api/v1/write")
+    target = (url.path or "/") + (f"?{url.query}" if url.query else "")
+    return RemoteWriteConfig(
+        str(url.hostname),
+        port,
+        target,
+        table.every_s,
+        table.queue_kb << 10,
+        table.spool,
+        table.spool_mb << 20,
+        table.version,
+        table.replay_kb_per_s * 1000,
+    )
+
+
+def _receivers(data: dict[str, Any]) -> tuple[RemoteWriteConfig, ...]:
+    if not isinstance(data.get("remote_write"), list):
+        one = _table(data, "remote_write", RemoteWriteTable)
+        return (_remote_write(one, "remote_write"),) if one else ()
+    found = []
+    for i, raw in enumerate(data["remote_write"]):
+        key = f"remote_write[{i}]"
+        table = _table({key: raw}, key, RemoteWriteTable)
+        assert table is not None
+        found.append(_remote_write(table, key))
+    spools = [r.spool for r in found if r.spool]
+    if len(spools) != len(set(spools)):
+        raise ConfigError("'remote_write' must name another 'spool' for each receiver")
+    return tuple(found)
 
 
 def _admission(table: AdmissionTable) -> Limits:
@@ -228,13 +259,13 @@
             raise ConfigError(f"'{name}': there is no such table, only {', '.join(TABLES)}")
     dns = _table(data, "dns", DnsTable)
     metrics = _table(data, "metrics", MetricsTable)
-    remote_write = _table(data, "remote_write", RemoteWriteTable)
+    remote_write = _receivers(data)
     admission = _table(data, "admission", AdmissionTable)
     control = _table(data, "control", ControlTable)
     return Operator(
         _dns(dns, names) if dns else None,
         _address(metrics.listen, "metrics.listen") if metrics else None,
-        _remote_write(remote_write) if remote_write else None,
+        remote_write,
         _admission(admission) if admission and admission.enabled else None,
         control.socket if control else None,
     )
--- a/zincladder/core/engine.py
+++ b/zincladder/core/engine.py
@@ -21,6 +21,7 @@
 
 from zincladder import interface as api
 from zincladder.core.ends import End, How
+from zincladder.core.figures import Figures
 from zincladder.decide import Router
 
 DUE_MARGIN = 0.02  # seconds before the client's own deadline: time to write the answer that ends it
@@ -126,6 +127,7 @@
         self.purged: dict[tuple[int | None, int], float] = {}
         self.lives: dict[int, Life] = {}
         self.counts: Counter[tuple[str, str]] = Counter()
+        self.figures = Figures()
         self.on_tick: Callable[[], None] | None = None  # a front's own look at the clock
         self.behind = 0.0  # seconds by which the event loop was late at its last two looks
         self._requests = 0
@@ -155,6 +157,7 @@
                     self._tell(api.ClientLeft(number))
                 self._take_ends(number, life)
             self.counts["answers", life.final.kind] += 1
+            self.figures.answers[ask.klass, life.final.kind] += 1
             return life.final
         finally:
             self._forget(number)
@@ -245,6 +248,7 @@
         self, number: int, n: int, order: Order, end: End, sent_at: float, closed: bool
     ) -> api.AttemptEnded:
         self.counts["attempts", end.how.name.lower()] += 1
+        self.figures.ended(order.member, end.how)
         latency = self.clock.now() - sent_at
         return api.AttemptEnded(
             number, n, order.member, end.result, latency, closed, end.note, 0.0, end.report
@@ -261,6 +265,7 @@
                 self.members.pop(member.id, None)
             else:
                 self.members[member.id] = member
+        self.figures.keep_only(self.members)
         self._notify(api.MemberList(kind, version, members))
 
     def purge(self, obj: int | None, group: int, made: float) -> None:
@@ -339,6 +344,7 @@
         order.age_now = lambda: self._age(order)
         scope = anyio.CancelScope(deadline=anyio.current_time() + max(0.0, until - now) + 1e-3)
         life.out[n] = (order, scope, now)
+        self.figures.asked(action.member, now, ask.klass)
         if life.due is None and life.inline is None and len(life.out) == 1:
             life.due = (n, order, scope)
             life.news.set()
@@ -376,10 +382,13 @@
 
     async def _probe(self, member: api.MemberId) -> None:
         started = self.clock.now()
+        self.figures.asked(member, started)
         try:
             end = await self.carrier.probe(member)
         except Exception:  # guards all attempts, which share its task group
             log.exception("probe failed", member=member.decode("latin-1"))
             end = End(How.SILENT)
         self.counts["probes", end.how.name.lower()] += 1
-        self._notify(api.ProbeEnded(member, end.result, self.clock.now() - started, end.report))
+        now = self.clock.now()
+        self.figures.probed(member, end.how, now - started, end.report, now)
+        self._notify(api.ProbeEnded(member, end.result, now - started, end.report))
--- /dev/null
+++ b/zincladder/core/figures.py
@@ -0,0 +1,101 @@
+"""What is counted by class and by member: a few additions to a request, read off at the moment of asking."""
+
+from __future__ import annotations
+
+from collections import Counter
+from dataclasses import dataclass, field
+
+from zincladder import interface as api
+from zincladder.core.ends import How
+
+# Ends by which a member has shown that it is there: it said something that could be read.
+ANSWERED = frozenset((How.SERVED, How.SAME, How.LACKING, How.FULL, How.FAULTED, How.TOO_LATE))
+FORGOTTEN = 30.0  # seconds after the last question
+
+
+@dataclass(slots=True)
+class MemberFigures:
+    """One member."""
+
+    ends: Counter[str] = field(default_factory=Counter)  # attempts by how they ended
+    probes: Counter[str] = field(default_factory=Counter)
+    probe_seconds: float = 0.0
+    open: int = 0
+    owes_since: float | None = None  # when it was first asked something since it last answered anything
+    asked_at: float = 0.0  # last
+    reported_at: float | None = None
+    report: tuple[float, ...] = ()
+
+
+class Figures:
+    """All members on the list, and all classes. A member that is gone takes its figures with it."""
+
+    def __init__(self) -> None:
+        self.members: dict[api.MemberId, MemberFigures] = {}
+        self.answers: Counter[tuple[int, str]] = Counter()  # by class and kind
+        self.attempts: Counter[int] = Counter()  # by class
+
+    def keep_only(self, members: dict[api.MemberId, api.Member]) -> None:
+        """Guards memory through a day in which members are replaced under new ids."""
+        for member in self.members.keys() - members.keys():
+            del self.members[member]
+        for member in members:
+            if member not in self.members:
+                self.members[member] = MemberFigures()
+
+    def asked(self, member: api.MemberId, now: float, klass: int | None = None) -> None:
+        """An attempt, or with no class a probe, is on its way."""
+        if klass is not None:
+            self.attempts[klass] += 1
+        found = self.members.get(member)
+        if found is None:
+            return  # gone since the decision
+        if klass is not None:
+            found.open += 1
+        found.asked_at = now
+        if found.owes_since is None:
+            found.owes_since = now
+
+    def ended(self, member: api.MemberId, how: How) -> None:
+        """An attempt has ended."""
+        found = self.members.get(member)
+        if found is None:
+            return
+        found.ends[how.name.lower()] += 1
+        # A member that went and came back under its id begins anew, with what was open before.
+        found.open = max(0, found.open - 1)
+        self._heard(found, how)
+
+    def probed(
+        self, member: api.MemberId, how: How, took: float, report: tuple[float, ...], now: float
+    ) -> None:
+        found = self.members.get(member)
+        if found is None:
+            return
+        found.probes[how.name.lower()] += 1
+        found.probe_seconds += took
+        if report:
+            found.report, found.reported_at = report, now
+        self._heard(found, how)
+
+    @staticmethod
+    def _heard(found: MemberFigures, how: How) -> None:
+        if how in ANSWERED:
+            found.owes_since = None
+        elif how in (How.NOT_WRITTEN, How.TURNED) and not found.open:
+            found.owes_since = None  # it was never asked
+
+    def silent(self, member: api.MemberId, now: float) -> float:
+        """Seconds through which a member was asked and said nothing; 0 if it owes no answer.
+
+        Guards members that are not asked any more: an attempt that was called off says little by itself, so
+        the time stands still with the last question, and is forgotten when none follows.
+        """
+        found = self.members[member]
+        if found.owes_since is None:
+            return 0.0
+        if not found.open:
+            if now - found.asked_at > FORGOTTEN:
+                return 0.0
+            now = found.asked_at
+        return max(0.0, now - found.owes_since)
--- a/zincladder/metrics/registry.py
+++ b/zincladder/metrics/registry.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterator, Sequence
 from dataclasses import dataclass
 
 from zincladder.admission.gate import Admission, Gate
@@ -41,6 +41,23 @@
     "rate": ("zincladder_admission_rate", "", "Loop seconds a second that are let in at most."),
     "behind": ("zincladder_loop_behind_seconds", "", "How late the event loop was at its last two looks."),
 }
+# By quay cache (a label 'cache' with the member's id) and by class, read off the core's figures.
+CACHE = {
+    "attempts": ("zincladder_cache_attempts_total", "end", "Attempts at a cache by how they ended."),
+    "probes": ("zincladder_cache_probes_total", "end", "Load probes of a cache by how they ended."),
+    "probe_seconds": ("zincladder_cache_probe_seconds_total", "", "Time that probes of a cache took."),
+    "open": ("zincladder_cache_attempts_open", "", "Attempts at a cache that have not ended."),
+    "silent": (
+        "zincladder_cache_silent_seconds",
+        "",
+        "How long a cache has owed an answer and said nothing.",
+    ),
+    "report_age": ("zincladder_cache_report_age_seconds", "", "Age of a cache's last load report."),
+}
+CLASS = {
+    "answers": ("zincladder_class_answers_total", "kind", "Answers by class."),
+    "attempts": ("zincladder_class_attempts_total", "", "Attempts by class."),
+}
 PENALTIES = "zincladder_admission_penalties_total"
 GAUGES = {
     "open": ("zincladder_requests_open", "Requests that are owed their answer."),
@@ -48,7 +65,7 @@
     "ready": ("zincladder_members_ready", "Members on the list that are ready."),
     "feed": ("zincladder_coordinator_connected", "1 while the coordinator is followed."),
 }
-TABLES = (COUNTERS, ADMISSION, GAUGES, ADMISSION_GAUGES)
+TABLES = (COUNTERS, ADMISSION, GAUGES, ADMISSION_GAUGES, CACHE, CLASS)
 NAMES = frozenset(row[0] for table in TABLES for row in table.values()) | {PENALTIES}
 
 
@@ -64,7 +81,15 @@
 class Registry:
     """All samples of one front."""
 
-    def __init__(self, core: Core, front: str, connected: Callable[[], bool], admission: Admission) -> None:
+    def __init__(
+        self,
+        core: Core,
+        front: str,
+        connected: Callable[[], bool],
+        admission: Admission,
+        classes: Sequence[str] = (),
+    ) -> None:
+        self._classes = classes
         self._core, self._front, self._connected, self._admission = core, front, connected, admission
 
     def samples(self) -> Iterator[Sample]:
@@ -83,6 +108,26 @@
         for key, value in values.items():
             yield Sample(GAUGES[key][0], (front,), float(value))
         yield from self._of_admission(front)
+        yield from self._of_figures(front)
+
+    def _of_figures(self, front: tuple[str, str]) -> Iterator[Sample]:
+        figures, now = self._core.figures, self._core.clock.now()
+        for (klass, kind), count in sorted(figures.answers.items()):
+            labels = (front, ("class", self._classes[klass]), ("kind", kind))
+            yield Sample(CLASS["answers"][0], labels, float(count))
+        for klass, count in sorted(figures.attempts.items()):
+            yield Sample(CLASS["attempts"][0], (front, ("class", self._classes[klass])), float(count))
+        for member, found in list(figures.members.items()):
+            cache = (front, ("cache", member.decode("latin-1")))
+            for key, counts in (("attempts", found.ends), ("probes", found.probes)):
+                for end, count in sorted(counts.items()):
+                    yield Sample(CACHE[key][0], (*cache, ("end", end)), float(count))
+            yield Sample(CACHE["probe_seconds"][0], cache, round(found.probe_seconds, 4))
+            yield Sample(CACHE["open"][0], cache, float(found.open))
+            if member in figures.members:  # it may go between two slices of a batch
+                yield Sample(CACHE["silent"][0], cache, round(figures.silent(member, now), 3))
+            if found.reported_at is not None:
+                yield Sample(CACHE["report_age"][0], cache, round(max(0.0, now - found.reported_at), 3))
 
     def _of_admission(self, front: tuple[str, str]) -> Iterator[Sample]:
         admission, tallies = self._admission, self._admission.tallies
@@ -114,9 +159,11 @@
         kinds = {name: ("counter", text) for name, _, text in (*COUNTERS.values(), *ADMISSION.values())}
         kinds[PENALTIES] = ("counter", "Penalties that sources of connections were given.")
         kinds |= {name: ("gauge", text) for name, text in GAUGES.values()}
-        kinds |= {name: ("gauge", text) for name, _, text in ADMISSION_GAUGES.values()}
+        others = (*ADMISSION_GAUGES.values(), *CACHE.values(), *CLASS.values())
+        kinds |= {n: ("counter" if n.endswith("_total") else "gauge", text) for n, _, text in others}
         lines, seen = [], set()
-        for sample in self.samples():
+        # The text format wants all lines of one name together.
+        for sample in sorted(self.samples(), key=lambda s: s.name):
             if sample.name not in seen:
                 seen.add(sample.name)
                 kind, text = kinds[sample.name]
--- a/zincladder/net/door.py
+++ b/zincladder/net/door.py
@@ -50,8 +50,10 @@
 
 def turn_away(sock: socket.socket) -> None:
     """Ends a connection at the least cost to this side."""
-    with contextlib.suppress(OSError):
+    try:  # noqa: SIM105  (this is done for every connection of a flood)
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+    except OSError:
+        pass
     sock.close()
 
 
