--- a/zincladder/admission/gate.py
+++ b/zincladder/admission/gate.py
@@ -341,13 +341,14 @@
         return Decision(WAIT, FULL, key, lane, evict)
 
     def _turn(self, key: int, lane: Lane, why: Why) -> Decision:
-        self.tallies.turned[why] = self.tallies.turned.get(why, 0) + 1
+        name, turned = why._value_, self.tallies.turned  # as said for every connection of a flood
+        turned[name] = turned.get(name, 0) + 1
         self.shares.spend(cost.TURNED)
         return Decision(TURN_AWAY, why, key, lane)
 
     def given_up(self, decision: Decision) -> None:
         """A connection that waited in the lobby in vain, or that the system had no descriptor for."""
-        self.tallies.turned[decision.why] = self.tallies.turned.get(decision.why, 0) + 1
+        self.tallies.turned[decision.why.value] = self.tallies.turned.get(decision.why.value, 0) + 1
 
     def seat(self, decision: Decision, now: float) -> Seat:
         lane = decision.lane
@@ -479,7 +480,7 @@
         seat.spoke = True
         why = self._over_share(seat)
         if why is not NONE:
-            self.tallies.refused[why] = self.tallies.refused.get(why, 0) + 1
+            self.tallies.refused[why.value] = self.tallies.refused.get(why.value, 0) + 1
             self._give_back(seat, now)
             self._press(seat.source, now)
             if seat.row is not None:
--- a/zincladder/admission/model.py
+++ b/zincladder/admission/model.py
@@ -197,8 +197,8 @@
     """What admission did so far, for the metrics: counts by lane and by cause, of which there are few."""
 
     admitted: list[int] = field(default_factory=lambda: [0] * len(Lane))
-    turned: dict[Why, int] = field(default_factory=dict)
-    refused: dict[Why, int] = field(default_factory=dict)
+    turned: dict[str, int] = field(default_factory=dict)  # by the value of a Why
+    refused: dict[str, int] = field(default_factory=dict)
     evicted: list[int] = field(default_factory=lambda: [0] * len(Lane))
     waits: list[int] = field(default_factory=lambda: [0] * len(Lane))
     penalties: int = 0
--- a/zincladder/admission/plain.py
+++ b/zincladder/admission/plain.py
@@ -94,7 +94,7 @@
         elif self._open >= most / 2 and seat.open > 0 and seat.open >= most / max(1, self._active):
             why = Why.SHARE
         if why is not Why.NONE:
-            self.tallies.refused[why] = self.tallies.refused.get(why, 0) + 1
+            self.tallies.refused[why.value] = self.tallies.refused.get(why.value, 0) + 1
             if seat.row is not None:
                 self._idle(seat, now)
         return why
--- a/zincladder/control/commands.py
+++ b/zincladder/control/commands.py
@@ -68,8 +68,8 @@
             "waiting": gate.shares.waiting,
             "descriptors": {use.value: a.used for use, a in gate.ledger.accounts.items()},
             "limit": gate.ledger.total,
-            "turned_away": {why.value: n for why, n in gate.tallies.turned.items()},
-            "refused": {why.value: n for why, n in gate.tallies.refused.items()},
+            "turned_away": dict(gate.tallies.turned),
+            "refused": dict(gate.tallies.refused),
             "penalties": gate.tallies.penalties,
         }
 
--- a/zincladder/metrics/registry.py
+++ b/zincladder/metrics/registry.py
@@ -137,8 +137,8 @@
                 yield Sample(name, (front, (label, lane.name.lower())), float(count))
         for key, counts in (("turned", tallies.turned), ("refused", tallies.refused)):
             name, label, _ = ADMISSION[key]
-            for why, count in sorted(counts.items(), key=lambda pair: pair[0].value):
-                yield Sample(name, (front, (label, why.value)), float(count))
+            for why, count in sorted(counts.items()):
+                yield Sample(name, (front, (label, why)), float(count))
         yield Sample(PENALTIES, (front,), float(tallies.penalties))
         for use, account in admission.ledger.accounts.items():
             yield Sample(ADMISSION_GAUGES["descriptors"][0], (front, ("use", use.value)), float(account.used))
--- a/zincladder/net/door.py
+++ b/zincladder/net/door.py
@@ -22,7 +22,7 @@
 from zincladder.net.sparing import Sparing
 from zincladder.net.stream import family
 
-TURN = 32  # connections taken before the other tasks have their turn
+TURN = 64  # connections taken before the other tasks have their turn
 SHORT = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)  # accept(2): the system has none to give
 PAUSES = (0.01, 0.2)  # seconds for which the listener rests then, doubled from the first to the second
 SHORT_BY = 4  # descriptors that are made free then, for members and the feed too
@@ -158,7 +158,7 @@
     def look(self) -> None:
         """Tries the lobby again, oldest first, and ends who has waited for too long."""
         if self._turned:
-            by = {why.value: n for why, n in self._admission.tallies.turned.items()}
+            by = dict(self._admission.tallies.turned)
             self._warn.warning("connections turned away", so_far=by)
             self._turned = 0
         for _ in range(len(self._lobby)):
@@ -193,7 +193,7 @@
         """
         self._warn.warning("no descriptor left", why=str(fault), used=self._admission.ledger.used)
         tallies = self._admission.tallies
-        tallies.turned[Why.EXHAUSTED] = tallies.turned.get(Why.EXHAUSTED, 0) + 1
+        tallies.turned[Why.EXHAUSTED.value] = tallies.turned.get(Why.EXHAUSTED.value, 0) + 1
         ledger = self._admission.ledger
         ledger.resize(min(ledger.total, ledger.used - SHORT_BY))  # evicts; `measure` restores it
         if self._spare is not None:
