--- a/benchmarks/export.py
+++ b/benchmarks/export.py
@@ -32,7 +32,7 @@
 @contextlib.asynccontextmanager
 async def receiver(stalled: bool) -> AsyncIterator[int]:
     async def take(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+        with contextlib.suppress(OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
             if stalled:
                 await asyncio.sleep(3600)
             head = (await reader.readuntil(b"\r\n\r\n")).lower()
