Lay a refusal whose source is not told on the likelier of cache and source, and avoid both

Ruled out: the caches' own refusals. A cache answers 'lacking' after 1 ms; these refusals came after 8 to 62 ms, the way to the parent and back, and the same caches filled from the other parent at the same moments. At fault: Router._ended and _judge, which laid every outcome without a note on the cache. Change: Settings.faults_told (domain.detail). Where faults are not told, a refusal is laid on whichever of cache and source fails more lately, on both where neither does, and the request avoids what was blamed. A refusal of the origin's, known as such, ends the request's tries as a told one does.

--- a/zincladder/config/__init__.py
+++ b/zincladder/config/__init__.py
@@ -125,6 +125,7 @@
     "at_most_once": api.Effect.UNSAFE,
 }
 _SCOPES = {scope.value: scope for scope in api.Scope}
+_FAULTS_TOLD = {"all": True, "hit": False, "off": False}
 _PEER_FILLS = {fill.value: fill for fill in api.PeerFill}
 REPORTS = {"rif": "held", "inflight": "held", "q": "queued", "queue": "queued", "x0": "hits", "x1": "link",
            "util": "busy"}  # fmt: skip
@@ -199,6 +200,7 @@
         max_retry_after=limits.num("maxRetryAfter", 0.0),
         bypass=domain.flag("mayPassBy"),
         joins_fills=domain.flag("mergesFills"),
+        faults_told=domain.choice("detail", _FAULTS_TOLD, True),
         peer_fill=domain.choice("peersFill", _PEER_FILLS, api.PeerFill.OFF),
         origin_stops_at=domain.num("originStopsAt", 0.0),
         origin_stops_after=domain.num("rootFall", 0.0),
--- a/zincladder/decide.py
+++ b/zincladder/decide.py
@@ -31,6 +31,7 @@
 KEEP = 1  # the one rank of all kept copies: with a single rank every cache is a plain LRU
 COLD_SHARE = 0.5  # of what pushes a cold member over: half is left to routers that are not told yet
 MEMORY = 0.3  # weight of the newest outcome in a member's failing share
+DOUBT = 0.1  # by which one member's failing share passes another's to tell which of both it was
 OFF_AT = 0.6  # failing share that takes a member off: three silences in a row, or most of many
 OFF_PART = 0.5  # of a ring that judgement may set aside: a fault of the location must not empty it
 TRIAL = 2.0  # seconds between trial requests: each may cost one request its patience
@@ -411,8 +412,9 @@
 
     def _ended(self, event: api.AttemptEnded, now: float) -> None:
         attempt = self.attempts.pop((event.request, event.attempt), None)
+        blamed = self._blamed(event, attempt) if attempt else set()
         if attempt:
-            self._judge(event, attempt, now)
+            self._judge(event, attempt, blamed, now)
         job = self.jobs.pop(event.request, None) if event.closed else self.jobs.get(event.request)
         if job is None or event.closed:
             return
@@ -420,19 +422,19 @@
         if attempt:
             if event.result not in NEVER_RAN:
                 job.may_have_run.append(attempt.sent_at)
-            blamed = attempt.source if event.note in BLAMES_SOURCE else attempt.cache
             job.joins = event.result is api.Result.MISS and event.note is api.Note.JOINED
             looked = event.result is api.Result.MISS and attempt.source == attempt.cache
             # Guards what is kept: connections are lost at any cache alike, so its own is asked once more.
-            cut = event.result is api.Result.RESET and blamed not in job.spoilt
-            job.spoilt |= {blamed} if cut else set()
+            cut = event.result is api.Result.RESET and not blamed <= job.spoilt
+            job.spoilt |= blamed if cut else set()
             if not looked and not cut and not job.klass.never_kept:
-                job.tried.add(blamed)
+                job.tried |= blamed
             job.errors += event.result is api.Result.ERROR
             if job.errors >= ERRORS:
                 return self._give_up(job)
             # Guards the origin: another parent would ask the same origin, so only a stale copy is tried.
-            own = event.note in SOURCE_FAULTS and attempt.source == self.origin
+            refused = event.result is api.Result.REFUSED
+            own = (event.note in SOURCE_FAULTS or refused) and blamed == {self.origin} != {attempt.cache}
             lost = own or event.note is api.Note.ORIGIN_FAILED
             if job.stale or (lost and not job.klass.usable_after):
                 return self._give_up(job)
@@ -452,7 +454,24 @@
             share = max(CORES_STEPS[cores < self.cores], 1 / self.reports)
             self.cores = max(1.0, self.cores + share * (cores - self.cores))
 
-    def _judge(self, event: api.AttemptEnded, attempt: Attempt, now: float) -> None:
+    def _blamed(self, event: api.AttemptEnded, attempt: Attempt) -> set[api.MemberId]:
+        """Whose a failure was: the cache's, or its source's where the answer says so.
+
+        Guards against a source that refuses, unsaid: all its caches would be asked in vain, and taken off.
+        """
+        cache, source = self.seen.get(attempt.cache), self.seen.get(attempt.source)
+        if event.note in BLAMES_SOURCE:
+            return {attempt.source}
+        told = self.settings.faults_told or event.result is not api.Result.REFUSED
+        if told or cache is None or source is None or cache.failing > source.failing + DOUBT:
+            return {attempt.cache}
+        if source.failing > cache.failing + DOUBT:
+            return {attempt.source}
+        return {attempt.cache, attempt.source}
+
+    def _judge(
+        self, event: api.AttemptEnded, attempt: Attempt, blamed: set[api.MemberId], now: float
+    ) -> None:
         """Files an outcome under the member it tells of: the fill's source, or the cache asked."""
         cache, source = self.seen.get(attempt.cache), self.seen.get(attempt.source)
         self._report(attempt.cache, event.report)
@@ -477,8 +496,8 @@
             self._mark(server, False, now)
         if event.result is api.Result.TIMED_OUT and cache and cache.heard_at > attempt.sent_at:
             return  # slow, not silent
-        if event.result not in OWN_FAULT:
-            self._mark(cache, event.result not in (api.Result.OK, api.Result.MISS), now)
+        for i in sorted(blamed) if event.result not in OWN_FAULT else ():
+            self._mark(self.seen.get(i), event.result not in (api.Result.OK, api.Result.MISS), now)
 
     def _time(self, attempt: Attempt, latency: float) -> None:
         """Guards the guards: with sizes untold, all sending times were 0 and no link or cold member spared.
--- a/zincladder/interface.py
+++ b/zincladder/interface.py
@@ -142,6 +142,7 @@
     max_retry_after: float = 0.0
     bypass: bool = False
     joins_fills: bool = False
+    faults_told: bool = True  # a failed fill's note says whether its source was at fault
     peer_fill: PeerFill = PeerFill.OFF
     origin_stops_at: float = 0.0
     origin_stops_after: float = 0.0
