Ask a neighbour for a new cache's objects only as often as it held them lately

Ruled out: lookups made because the link is strained (1,732, all at the cache itself and before a refusal). At fault: Router._blamed, which laid the unsaid lack on the cache asked, so that the request avoided it, and _neighbour, which asked every time whatever the last answers were. Change: a 'lacking' through a cache of the location is the neighbour's; a neighbour is asked by lot, as often as it held what was asked of it lately, and one time in ten at the least.

--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from tests.conftest import FLEET, Driver, finals, get, parent, sends
+from tests.conftest import FLEET, Driver, cache, finals, get, parent, sends
 from zincladder import interface as api
 
 R = api.Result
@@ -115,3 +115,38 @@
     looks = [sent for sent in asked if sent.source != b"origin"]
     assert len(looks) >= 15 and all(sent.source == sent.member for sent in looks)
     assert finals(d.end(19, 0, asked[-1].member, R.MISS))
+
+
+# Caches that came empty ---------------------------------------------------------------------------
+
+
+def looks_beside(d: Driver, requests: range, held: bool) -> list[bool]:
+    """Of the requests that go to the new cache: whether its neighbour was asked, which holds all or nothing."""
+    asked = []
+    for n in requests:
+        actions, attempt = d.ask(n, key=n, kb=1.0), 0
+        sent = get(actions)
+        beside = sent.source.startswith(b"cache") and sent.source != sent.member
+        if sent.member == b"cache1":
+            asked.append(beside)
+        if beside and not held:
+            sent, attempt = get(d.end(n, 0, sent.member, R.MISS)), 1
+            assert b"cache1" not in d.router.jobs[n].tried
+        d.end(n, attempt, sent.member, R.OK, True, note=api.Note.FILLED)
+        d.now += 0.001
+    return asked
+
+
+def test_a_neighbour_that_holds_nothing_is_asked_less_and_the_new_cache_stays() -> None:
+    d = Driver(faults_told=False)
+    d.change(cache(1, started_at=d.now - 5))
+    first = looks_beside(d, range(1, 40), held=False)
+    later = looks_beside(d, range(40, 2000), held=False)
+    assert first[0] and len(later) > 100 and sum(later) <= 0.3 * len(later)  # before: all of them
+
+
+def test_a_neighbour_that_holds_it_goes_on_being_asked() -> None:
+    d = Driver(faults_told=False)
+    d.change(cache(1, started_at=d.now - 5))
+    asked = looks_beside(d, range(1, 1000), held=True)
+    assert len(asked) > 50 and all(asked)
--- a/zincladder/decide.py
+++ b/zincladder/decide.py
@@ -40,6 +40,7 @@
 YOUNGEST = 1e-3  # the wire reads an age of 0 as the default, so the least age is a millisecond
 ORIGIN_PART = 0.1  # of a router's requests that may fill from the origin where no parent is fit
 ORIGIN_MOST = 3.0  # of these at once
+NEAR_LEAST = 0.1  # of what a neighbour may hold, asked of it even where it held nothing lately
 RECENT = 0.02  # weight of the newest request in running means of sending times
 PROBE_EVERY = 0.5  # seconds between probes where load is told by probes only
 PROBING = (-1, 0)  # the timer of the probes
@@ -142,6 +143,7 @@
         self.out_there, self.weight_there = 0, 1.0  # attempts out at the location's caches; their weights
         self.cores = 1.0  # transfers that one cache sends at full pace: judged where weights are not listed
         self.spare = ORIGIN_MOST  # fills from the origin that are left to this router
+        self.near = 1.0  # share of what was asked of a neighbour that it held, lately
         self.reports = 0  # of caches, that told of their cores
         self.link = 0.0  # how full the location's link is, as last reported
         self.zone_routers = max(1, *settings.routers_by_zone[settings.zone : settings.zone + 1], 1)
@@ -269,7 +271,7 @@
         Guards the location's link after a spill (the object's own cache holds it) and after a return (the
         next point stood in). If the neighbour lacks it, the next attempt fills from the parent.
         """
-        if self.settings.peer_fill is api.PeerFill.OFF:
+        if self.settings.peer_fill is api.PeerFill.OFF or self.random.random() > self.near:
             return None
         walk = self.caches.walk(home)
         first = self.seen[next(walk)]
@@ -469,8 +471,9 @@
         Guards against a source that refuses, unsaid: all its caches would be asked in vain, and taken off.
         """
         cache, source = self.seen.get(attempt.cache), self.seen.get(attempt.source)
-        if event.note in BLAMES_SOURCE:
-            return {attempt.source}
+        beside = attempt.source in self.caches.ids and attempt.source != attempt.cache
+        if event.note in BLAMES_SOURCE or (beside and event.result is api.Result.MISS):
+            return {attempt.source}  # a cache of the location gives only what it holds
         told = self.settings.faults_told or event.result is not api.Result.REFUSED
         if told or cache is None or source is None or cache.failing > source.failing + DOUBT:
             return {attempt.cache}
@@ -484,6 +487,8 @@
         """Files an outcome under the member it tells of: the fill's source, or the cache asked."""
         cache, source = self.seen.get(attempt.cache), self.seen.get(attempt.source)
         self._report(attempt.cache, event.report)
+        if attempt.source in self.caches.ids and attempt.source != attempt.cache:
+            self.near += MEMORY * (max(NEAR_LEAST, event.result is api.Result.OK) - self.near)
         if cache and cache.out:  # a member that was gone for a while starts from none
             self._count(cache, -1)
         if event.result in (api.Result.CANCELLED, api.Result.UNSENT):
