--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -121,7 +121,7 @@
 
 
 def looks_beside(d: Driver, requests: range, held: bool) -> list[bool]:
-    """Of the requests that go to the new cache: whether its neighbour was asked, which holds all or nothing."""
+    """Of the requests that go to the new cache: whether its neighbour, holding all or nothing, was asked."""
     asked = []
     for n in requests:
         actions, attempt = d.ask(n, key=n, kb=1.0), 0
