Take a lack through a neighbour for the answer of the cache that was asked

Change: a lack marks the cache that was asked; only served answers and lacks tell what a neighbour holds.

--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -150,3 +150,35 @@
     d.change(cache(1, started_at=d.now - 5))
     asked = looks_beside(d, range(1, 1000), held=True)
     assert len(asked) > 50 and all(asked)
+
+
+def neighbour_asked(d: Driver, n: int) -> api.Get:
+    """The first attempt, from request n on, that asks the new cache to fill from its neighbour."""
+    while True:
+        sent = get(d.ask(n, key=n, kb=1.0))
+        if sent.member == b"cache1" and sent.source.startswith(b"cache") and sent.source != sent.member:
+            return sent
+        d.end(n, 0, sent.member, R.OK, True, note=api.Note.FILLED)
+        d.now, n = d.now + 0.001, n + 1
+
+
+def test_a_trial_that_ends_with_a_neighbours_lack_brings_the_new_cache_back() -> None:
+    d = Driver(faults_told=False)
+    d.change(cache(1, started_at=d.now - 5))
+    sent = neighbour_asked(d, 1)
+    new, neighbour = d.router.seen[b"cache1"], d.router.seen[sent.source]
+    new.off, neighbour.failing = True, 0.5
+    (request,) = [n for n, job in d.router.jobs.items() if job.out]
+    d.end(request, 0, sent.member, R.MISS)
+    assert not new.off  # it answered
+    assert neighbour.failing == 0.5  # of the neighbour this proves nothing
+
+
+def test_only_answers_tell_what_a_neighbour_holds() -> None:
+    for result, near in ((R.CANCELLED, 1.0), (R.TIMED_OUT, 1.0), (R.RESET, 1.0), (R.MISS, 0.73)):
+        d = Driver(faults_told=False)
+        d.change(cache(1, started_at=d.now - 5))
+        sent = neighbour_asked(d, 1)
+        (request,) = [n for n, job in d.router.jobs.items() if job.out]
+        d.end(request, 0, sent.member, result)
+        assert round(d.router.near, 2) == near
--- a/zincladder/decide.py
+++ b/zincladder/decide.py
@@ -487,7 +487,8 @@
         """Files an outcome under the member it tells of: the fill's source, or the cache asked."""
         cache, source = self.seen.get(attempt.cache), self.seen.get(attempt.source)
         self._report(attempt.cache, event.report)
-        if attempt.source in self.caches.ids and attempt.source != attempt.cache:
+        beside = attempt.source in self.caches.ids and attempt.source != attempt.cache
+        if beside and event.result in (api.Result.OK, api.Result.MISS):  # no other end tells what it holds
             self.near += MEMORY * (max(NEAR_LEAST, event.result is api.Result.OK) - self.near)
         if cache and cache.out:  # a member that was gone for a while starts from none
             self._count(cache, -1)
@@ -510,8 +511,9 @@
             self._mark(server, False, now)
         if event.result is api.Result.TIMED_OUT and cache and cache.heard_at > attempt.sent_at:
             return  # slow, not silent
-        for i in sorted(blamed) if event.result not in OWN_FAULT else ():
-            self._mark(self.seen.get(i), event.result not in (api.Result.OK, api.Result.MISS), now)
+        failed = event.result not in (api.Result.OK, api.Result.MISS)  # a lack is an answer of the cache's
+        for i in sorted(blamed if failed else {attempt.cache}) if event.result not in OWN_FAULT else ():
+            self._mark(self.seen.get(i), failed, now)
 
     def _time(self, attempt: Attempt, latency: float) -> None:
         """Guards the guards: with sizes untold, all sending times were 0 and no link or cold member spared.
