Add the operators' address, its figures, new settings at SIGHUP and the handing over of the listener

Change: config.renewed takes a file whole or not at all; core/classes.py gives numbers to classes; the Router takes NewSettings; control/calls.py and address.py answer READY and STATS; handover/ passes the listening socket.

--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -225,9 +225,9 @@
     figures.keep_only({m: api.Member(m, 0, 0) for m in (one, other)})
     for i in range(50):  # both are asked all the time; one says nothing, of the other a copy is called off
         now = 10.0 + i * 0.1
-        figures.asked(one, now, 0)
+        figures.asked(one, now, "page")
         figures.ended(one, How.SILENT)
-        figures.asked(other, now, 0)
+        figures.asked(other, now, "page")
         figures.ended(other, How.CALLED_OFF if i % 2 else How.SERVED)
     assert figures.silent(one, 15.0) == pytest.approx(4.9) and figures.silent(other, 15.0) == 0.0
     # Called off and then not asked any more: the time stands still, and is forgotten.
@@ -237,5 +237,5 @@
     assert figures.silent(one, 20.0) == 0.0 and figures.members[one].probe_seconds == 0.001
     figures.keep_only({other: api.Member(other, 0, 0)})  # gone, with an attempt that ends later
     figures.ended(one, How.CUT)
-    figures.asked(one, 21.0, 0)
+    figures.asked(one, 21.0, "page")
     assert list(figures.members) == [other]
--- a/zincladder/__main__.py
+++ b/zincladder/__main__.py
@@ -10,9 +10,10 @@
 
 import gc
 import logging
+import os
 import signal
 from collections.abc import Callable, Iterator
-from dataclasses import asdict, dataclass, replace
+from dataclasses import asdict, dataclass
 from functools import partial
 from typing import TYPE_CHECKING
 
@@ -26,7 +27,9 @@
 from zincladder.admission.ledger import PLAIN, SHARED, Ledger
 from zincladder.admission.model import Limits
 from zincladder.admission.plain import Plain
+from zincladder.core.classes import Classes
 from zincladder.core.engine import Clock, Core
+from zincladder.handover.host import Handover
 from zincladder.net.caches import Caches
 from zincladder.net.clients import Clients
 from zincladder.net.feed import Feed, Listed, News, known_news
@@ -35,8 +38,7 @@
     from zincladder.export.sender import RemoteWrite
 if sys.modules["rich"] is None:
     del sys.modules["rich"]
-TAKEN = ("coordinator", "memory_mb", "sockets", "most_open", "most_unread")  # on SIGHUP
-FIXED = ("name", "listen", "settings", "names", "idle_close", "streams")  # at the next start only
+UNHEARD = 1.5  # seconds for the coordinator's first word: one that stalls keeps no front out of service
 FLUSH = 0.5  # seconds after the last answer for the last samples to be sent
 log = structlog.get_logger()
 
@@ -58,37 +60,49 @@
 
 
 class Reload:
-    """Reads the configuration again and hands it to the running parts; nothing that they hold is lost."""
+    """The configuration in force: as last read, and shared with the other processes of this front."""
 
     def __init__(self, config: configuration.Config) -> None:
-        self._config = config
+        self._config, self._processes = config, 1
         self.parts: list[Callable[[configuration.Config], None]] = []
-        self.limits: Callable[[Limits], None] | None = None  # admission by source, where it is on
+        self.limits: Callable[[Limits], None] | None = None  # admission's, where it takes other ones
+        self.counts = {"applied": 0, "rejected": 0}
 
     def __call__(self) -> None:
-        """Guards a running front against a file that cannot be used: it goes on with what it has."""
+        """Guards a running front against a file that cannot be used: it goes on with what it has, whole."""
         try:
-            config = configuration.load()
+            config, waiting = configuration.renewed(self._config, configuration.load())
             operator = configuration.load_operator(config.names)
         except configuration.ConfigError as fault:
+            self.counts["rejected"] += 1
             log.error("bad configuration, the old one is kept", why=str(fault))
             return
-        fixed = [key for key in FIXED if getattr(self._config, key) != getattr(config, key)]
-        if fixed:
-            log.warning("keys that take effect at the next start only", keys=fixed)
-        self._config = replace(self._config, **{key: getattr(config, key) for key in TAKEN})
-        for apply in self.parts:
-            apply(self._config)
+        if bool(self.limits) != bool(operator.admission):
+            waiting.append("admission")
+        if waiting:
+            log.warning("keys that take effect at the next start only", keys=waiting)
+        self._config = config
+        self._apply()
         if self.limits and operator.admission:
             self.limits(operator.admission)
-        elif self.limits or operator.admission:
-            log.warning("keys that take effect at the next start only", keys=["admission"])
-        log.info("configuration read again", coordinator=config.coordinator)
+        self.counts["applied"] += 1
+        log.info("configuration read again", coordinator=config.coordinator, classes=config.names.classes)
+
+    def share(self, processes: int) -> None:
+        """So many processes of this front run from now on."""
+        self._processes = processes
+        self._apply()
+
+    def _apply(self) -> None:
+        config = configuration.shared(self._config, self._processes)
+        for apply in self.parts:
+            apply(config)
 
 
 async def run(config: configuration.Config, operator: configuration.Operator) -> None:
     """Runs a front; SIGTERM ends it in order, and what was taken is answered first. SIGHUP reloads."""
     stopping, reload = anyio.Event(), Reload(config)
+    folder = os.environ.get("TMPDIR")
     with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
         async with anyio.create_task_group() as tasks:
 
@@ -100,7 +114,7 @@
                         stopping.set()
 
             tasks.start_soon(listen)
-            await front(config, operator, stopping, reload=reload)
+            await front(config, operator, stopping, reload=reload, folder=folder)
             tasks.cancel_scope.cancel()
 
 
@@ -116,6 +130,10 @@
     admission.bounds.most_open, admission.bounds.most_unread = config.most_open, config.most_unread
 
 
+def retune(core: Core, config: configuration.Config) -> None:
+    core.retune(config.settings, config.names.classes)
+
+
 def follow(feed: Feed, config: configuration.Config) -> None:
     if config.coordinator:
         feed.follow(config.coordinator)
@@ -128,6 +146,26 @@
     clients: tuple[str, int]
     dns: tuple[str, int] | None = None
     metrics: tuple[str, int] | None = None
+    operators: tuple[str, int] | None = None
+
+
+class Readiness:
+    """Whether this process is ready to serve: the one place that says so."""
+
+    def __init__(self, core: Core, clients: Clients, since: float) -> None:
+        self._core, self._clients, self._since = core, clients, since
+        self.feed: Feed | None = None
+
+    def lacks(self) -> str:
+        """What is missing; nothing when it is ready."""
+        if self._clients.stopping:
+            return "this process is ending"
+        if not any(m.state is api.State.READY for m in self._core.members.values()):
+            return "the list names no member that is ready"
+        waited = self._core.clock.now() - self._since
+        if self.feed and not self.feed.heard and waited < UNHEARD:
+            return "the coordinator has not spoken yet"
+        return ""
 
 
 async def front(
@@ -136,17 +174,22 @@
     stopping: anyio.Event,
     *,
     reload: Reload | None = None,
+    folder: str | None = None,
     task_status: TaskStatus[Listening] = anyio.TASK_STATUS_IGNORED,
 ) -> None:
-    """Runs all parts until the client side has ended."""
-    clock = Clock()
+    """Runs all parts until the client side has ended. In `folder` it meets the next process at an upgrade."""
+    clock, reload = Clock(), reload or Reload(config)
+    handover = Handover(folder, config.listen, reload.share) if folder and config.listen[1] else None
+    listening_socket = handover.ask() if handover else None
     admission = admission_of(config, operator)
-    caches = Caches(config, clock.now, admission.ledger)
-    core = Core(config.settings, config.seed, caches, clock)
+    classes = Classes(config.names.classes, config.settings.classes)
+    caches = Caches(config, clock.now, admission.ledger, classes.names)
+    core = Core(config.settings, config.seed, caches, clock, classes)
     last, events = known_news(config)
-    clients = Clients(config, core, admission)
+    clients = Clients(config, core, admission, listening_socket)
+    readiness = Readiness(core, clients, clock.now())
     feed: Feed | None = None
-    where_dns = where_metrics = None
+    where_dns = where_metrics = where_control = None
     pushes: list[RemoteWrite] = []
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(clients.stop, stopping)
@@ -156,12 +199,24 @@
         tasks.start_soon(core.run)
         if config.coordinator:
             feed = Feed(config.coordinator, last, lambda news: tell(core, caches, news))
+            readiness.feed = feed
             tasks.start_soon(feed.run)
-        if reload:
-            reload.parts += [clients.use, caches.use, partial(bound, admission)]
-            reload.limits = admission.use if isinstance(admission, Gate) else None
-            if feed:
-                reload.parts.append(partial(follow, feed))
+        reload.parts += [partial(retune, core), clients.use, caches.use, partial(bound, admission)]
+        reload.limits = admission.use if isinstance(admission, Gate) else None
+        if feed:
+            reload.parts.append(partial(follow, feed))
+        if handover:
+            clients.succeeded = lambda: handover.companions.succeeded
+            tasks.start_soon(handover.run, clients.listener)
+        if config.control:
+            from zincladder.control.address import OperatorAddress
+            from zincladder.control.calls import Calls
+            from zincladder.control.figures import figures
+
+            calls = Calls(readiness.lacks, partial(figures, core, reload.counts))
+            operators = OperatorAddress(config.control, calls, admission.ledger)
+            where_control = operators.address
+            tasks.start_soon(operators.run)
         if operator.dns:
             # Imported here: a front without it starts sooner after a restart.
             from zincladder.dns.answers import Answers
@@ -187,7 +242,6 @@
                 config.name,
                 lambda: feed is not None and feed.connected,
                 admission,
-                config.names.classes,
             )
             if operator.metrics:
                 where_metrics = await tasks.start(Endpoint(operator.metrics, registry, admission).run)
@@ -200,7 +254,7 @@
                 pushes = [RemoteWrite(to, registry.samples, count) for to in operator.remote_write]
                 for push in pushes:
                     tasks.start_soon(push.run)
-        listening = Listening(clients.address, where_dns, where_metrics)
+        listening = Listening(clients.address, where_dns, where_metrics, where_control)
         log.info(
             "ready",
             name=config.name,
--- a/zincladder/admission/ledger.py
+++ b/zincladder/admission/ledger.py
@@ -13,7 +13,7 @@
     CACHES = "caches"
     DNS = "dns"  # over TCP
     METRICS = "metrics"
-    CONTROL = "control"  # the operator's socket
+    CONTROL = "control"  # operators' calls
 
 
 OWN = 24  # standard streams, the event loop, listeners, the feed, a spare to accept and close with
@@ -101,7 +101,7 @@
     Use.CACHES: (0.33, 0.33),
     Use.DNS: (0.0, 0.25),
     Use.METRICS: (0.0, 0.06),
-    Use.CONTROL: (0.0, 0.03),
+    Use.CONTROL: (0.03, 0.03),
 }
 # With it, whoever is short takes what the others leave.
 SHARED = {
--- a/zincladder/config/__init__.py
+++ b/zincladder/config/__init__.py
@@ -7,10 +7,11 @@
 from __future__ import annotations
 
 import json
+import math
 import os
 import tomllib
 from collections.abc import Callable, Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, field, replace
 from pathlib import Path
 from typing import Any, TypeVar
 
@@ -24,6 +25,7 @@
 SOCKETS = 1024
 OWN_MB = 28  # what the daemon itself takes (17 at its start, 22 under load); the rest holds requests
 BODY = 240_000  # bytes of an object's part at most
+LEAST_MB = 4  # for requests, however little there is
 OPEN_KB = 100  # an open request, most of which wait and hold no body yet
 
 
@@ -82,7 +84,19 @@
 
 
 def _number(value: Any) -> float:
-    if isinstance(value, bool) or not isinstance(value, int | float):
+    if isinstance(value, bool) or not isinstance(value, int | float) or not math.isfinite(value):
+        raise ValueError
+    return float(value)
+
+
+def _above_0(value: Any) -> float:
+    if _number(value) <= 0:
+        raise ValueError
+    return float(value)
+
+
+def _at_least_1(value: Any) -> float:
+    if _number(value) < 1:
         raise ValueError
     return float(value)
 
@@ -145,7 +159,7 @@
         found.append(
             api.RequestClass(
                 aim=c.num("onTime"),
-                deadline=c.num("deadline"),
+                deadline=c.get("deadline", _above_0, "a number above 0", None),
                 effect=c.choice("effect", _EFFECTS),
                 aim_stretch=c.num("aimStretch", 0.0),
                 worth=c.num("value", 1.0),
@@ -191,7 +205,7 @@
         answer_slack=rules.num("answerSlack", 0.0),
         purge_grace=domain.num("noticeTime", 0.0),
         purge_done=domain.num("goneEverywhere", 0.0),
-        max_attempts=limits.whole("attemptsCap", 1),
+        max_attempts=int(limits.get("attemptsCap", _at_least_1, "a whole number above 0", 1.0)),
         connect_timeout=limits.num("connectTimeout", 0.0),
         may_cancel=limits.flag("mayCancel"),
         second_copies=limits.flag("secondCopies"),
@@ -230,7 +244,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Names:
-    """What the settings name and number: a place in the list is the number on the wires."""
+    """What the settings name and number: a place in the list is the number in the file."""
 
     classes: tuple[str, ...]
     zones: tuple[str, ...]
@@ -244,6 +258,7 @@
     name: str
     listen: Address
     coordinator: Address | None
+    control: Address | None  # where operators call
     seed: int
     memory_mb: int
     sockets: int
@@ -254,6 +269,7 @@
     most_open: int  # requests that may be open at once
     most_unread: int  # bytes of answers that all clients together may leave unread
     known: dict[str, Any]
+    raw: dict[str, Any] = field(default_factory=dict, repr=False, compare=False)  # the file without `known`
 
 
 @dataclass(frozen=True, slots=True)
@@ -332,15 +348,19 @@
         conf.many("zones", _text, "texts", []),
         conf.many("models", _text, "texts", []),
     )
+    if len(set(names.classes)) < len(names.classes) or not names.classes:
+        raise ConfigError("'settings.categories' must hold classes, each with a name of its own")
     memory = limits.whole("memory_mb", MEMORY_MB)
-    room = max(4, memory - OWN_MB) << 20
-    most = room // (OPEN_KB << 10)
+    most, unread = _room(memory)
     return Config(
         name=top.text("name", "front"),
         listen=top.get("listen", address, "an address like 127.0.0.1:8080", None),
         coordinator=top.get("coordinator", address, "an address like 127.0.0.1:4222", None)
         if "coordinator" in top.data
         else None,
+        control=top.get("control", address, "an address like 127.0.0.1:7070", None)
+        if "control" in top.data
+        else None,
         seed=top.get("seed", lambda v: int(_text(v), 16), "hex digits", 0),
         memory_mb=memory,
         sockets=limits.whole("sockets", SOCKETS),
@@ -349,11 +369,90 @@
         idle_close=ceilings.num("idleClose", 30.0),
         streams=ceilings.whole("streamsPerConn", 100),
         most_open=min(most, ceilings.whole("maxOpen", most)),
-        most_unread=room // 2,
+        most_unread=unread,
         known=top.sub("known").data,
+        raw={key: value for key, value in top.data.items() if key != "known"},
     )
 
 
+FIXED = ("name", "listen", "control", "seed", "known", "idle_close", "streams")  # until the next start
+PLACE = (
+    "zone",
+    "instance",
+    "parent_kind",
+    "origin_kind",
+    "peer_fill",
+    "weights_listed",
+    "must_subscribe",
+    "report_names",
+    "load_by_probe",
+    "probes",
+)  # of the settings: where a front stands and what it can learn, until the next start too
+
+
+def _room(memory_mb: int) -> tuple[int, int]:
+    """Requests that may be open at once, and bytes that clients may leave unread."""
+    room = max(LEAST_MB, memory_mb - OWN_MB) << 20
+    return room // (OPEN_KB << 10), room // 2
+
+
+def shared(config: Config, processes: int) -> Config:
+    """What each process of a front may hold while several run, as at an upgrade: an even part.
+
+    Guards memory and descriptors, which are counted together, and cold members: the processes of one front
+    are as many routers, each of which would send a front's whole part.
+    """
+    if processes <= 1:
+        return config
+    s, more = config.settings, processes - 1
+    most, unread = _room(config.memory_mb // processes)
+    seats = tuple(n + more * (zone == s.zone) for zone, n in enumerate(s.routers_by_zone))
+    return replace(
+        config,
+        memory_mb=config.memory_mb // processes,
+        sockets=config.sockets // processes,
+        most_open=min(most, config.most_open),
+        most_unread=unread,
+        settings=replace(s, routers=s.routers + more, routers_by_zone=seats),
+    )
+
+
+def renewed(old: Config, new: Config) -> tuple[Config, list[str]]:
+    """What a running front takes from a file that was read again, and the keys that wait for the next start.
+
+    Guards against a file that lost a part: a default would quietly take the place of what was meant. Classes
+    may come and go, so each is held to what all classes of the old file have. ConfigError where it is not
+    whole.
+    """
+    _holds(old.raw, new.raw, "")
+    names = replace(new.names, zones=old.names.zones, kinds=old.names.kinds)
+    place = {key: getattr(old.settings, key) for key in PLACE}
+    fixed = {key: getattr(old, key) for key in FIXED}
+    waiting = [key for key in FIXED if key not in ("seed", "known") and getattr(new, key) != fixed[key]]
+    waiting += [f"settings: {key}" for key in PLACE if getattr(new.settings, key) != place[key]]
+    return replace(new, settings=replace(new.settings, **place), names=names, **fixed), waiting
+
+
+def _holds(old: dict[str, Any], new: dict[str, Any], path: str) -> None:
+    for key, value in old.items():
+        at = f"{path}.{key}" if path else key
+        if key not in new:
+            raise ConfigError(f"'{at}' is missing")
+        if type(new[key]) is not type(value) and not _both_numbers(value, new[key]):
+            raise ConfigError(f"'{at}' is not of the kind that it was")
+        if isinstance(value, dict):
+            _holds(value, new[key], at)
+        elif key == "categories":
+            common = set.intersection(*(set(c) for c in value)) if value else set()
+            for i, c in enumerate(new[key]):
+                if lost := sorted(common - set(c)):
+                    raise ConfigError(f"'{at}[{i}].{lost[0]}' is missing")
+
+
+def _both_numbers(a: Any, b: Any) -> bool:
+    return all(isinstance(v, int | float) and not isinstance(v, bool) for v in (a, b))
+
+
 def load(environ: Mapping[str, str] = os.environ) -> Config:
     """Reads the file named by RELAY_CONFIG; RELAY_LISTEN and RELAY_NAME go before what it says."""
     path = environ.get("RELAY_CONFIG")
@@ -365,6 +464,7 @@
         raise ConfigError(f"'RELAY_CONFIG' cannot be read: {fault}") from None
     data = _parsed(text, "RELAY_CONFIG's file")
     if isinstance(data, dict):
-        for variable, key in (("RELAY_LISTEN", "listen"), ("RELAY_NAME", "name")):
+        places = (("RELAY_LISTEN", "listen"), ("RELAY_NAME", "name"), ("RELAY_CONTROL", "control"))
+        for variable, key in places:
             data |= {key: environ[variable]} if variable in environ else {}
     return config_of(data)
--- /dev/null
+++ b/zincladder/control/figures.py
@@ -0,0 +1,24 @@
+"""The figures that `STATS` shows, read off the parts at the moment of asking."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator, Mapping
+
+from zincladder.core.engine import Core
+
+KINDS = {"succeeded": "served", "declined": "refused", "aborted": "failed"}
+
+
+def figures(core: Core, sighups: Mapping[str, int]) -> Iterator[tuple[str, int]]:
+    """Each name and its value; all classes are there from the start, whether or not they have counted yet."""
+    counted = core.figures
+    for klass in counted.classes:
+        for name, kind in KINDS.items():
+            yield f"{name}.{klass}", counted.answers[klass, kind]
+    beside = (core.settings.parent_kind, core.settings.origin_kind)
+    yield "forwards", counted.forwards
+    yield "outstanding", len(core.lives)
+    yield "discovered", sum(m.kind not in beside for m in core.members.values())
+    yield "ejected", core.avoided()
+    yield "sighup_applied", sighups["applied"]
+    yield "sighup_rejected", sighups["rejected"]
--- a/zincladder/core/engine.py
+++ b/zincladder/core/engine.py
@@ -10,8 +10,8 @@
 import math
 import time
 from collections import Counter
-from collections.abc import Callable
-from dataclasses import dataclass, field
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass, field, replace
 from typing import Protocol
 
 import anyio
@@ -20,6 +20,7 @@
 from anyio.abc import TaskGroup
 
 from zincladder import interface as api
+from zincladder.core.classes import Classes
 from zincladder.core.ends import End, How
 from zincladder.core.figures import Figures
 from zincladder.decide import Router
@@ -62,6 +63,7 @@
     parent_passes: bool = False
     renew: bool = False
     until: float = 0.0  # when the wait for it ends
+    written: Callable[[], None] = lambda: None  # called when its last byte has been
     may_go: Callable[[], bool] = lambda: True  # asked again when its first byte is about to be written
     member_ready: Callable[[], bool] = lambda: True  # else it is the source that may not be named any more
     age_now: Callable[[], float] = lambda: 0.0  # the oldest copy that will do, as of that moment
@@ -117,9 +119,15 @@
     """One Router and all that it needs to act."""
 
     def __init__(
-        self, settings: api.Settings, seed: int, carrier: Carrier, clock: Clock | None = None
+        self,
+        settings: api.Settings,
+        seed: int,
+        carrier: Carrier,
+        clock: Clock | None = None,
+        classes: Classes | None = None,
     ) -> None:
         self.settings = settings
+        self.classes = classes or Classes([str(i) for i in range(len(settings.classes))], settings.classes)
         self.router = Router(settings, seed)
         self.carrier = carrier
         self.clock = clock or Clock()
@@ -128,6 +136,7 @@
         self.lives: dict[int, Life] = {}
         self.counts: Counter[tuple[str, str]] = Counter()
         self.figures = Figures()
+        self.figures.keep_classes(self.classes.current, ())
         self.on_tick: Callable[[], None] | None = None  # a front's own look at the clock
         self.behind = 0.0  # seconds by which the event loop was late at its last two looks
         self._requests = 0
@@ -156,12 +165,16 @@
                     life.final = Answer("failed")
                     self._tell(api.ClientLeft(number))
                 self._take_ends(number, life)
-            self.counts["answers", life.final.kind] += 1
-            self.figures.answers[ask.klass, life.final.kind] += 1
+            self.answered(ask.klass, life.final.kind)
             return life.final
         finally:
             self._forget(number)
 
+    def answered(self, klass: int, kind: str) -> None:
+        """The one place where answers are counted, those too that the module never heard of."""
+        self.counts["answers", kind] += 1
+        self.figures.answered(self.classes.names[klass], kind)
+
     def _take_ends(self, number: int, life: Life) -> None:
         while life.ends and life.final is None:
             n, end = life.ends.pop(0)
@@ -256,6 +269,18 @@
 
     # News ---------------------------------------------------------------------------------------
 
+    def retune(self, settings: api.Settings, names: Sequence[str]) -> None:
+        """Other settings from now on. What is open keeps the rules under which it was taken."""
+        held = {life.ask.klass for life in self.lives.values()}
+        learned = self.classes.take(names, settings.classes, held, self.clock.now())
+        self.figures.keep_classes(names, (self.classes.names[n] for n in held))
+        self.settings = replace(settings, classes=tuple(self.classes.rules))
+        self._notify(api.NewSettings(self.settings, learned))
+
+    def avoided(self) -> int:
+        """Caches on the list that the module has set aside."""
+        return sum(self.router.seen[i].off for i in self.router.caches.ids)
+
     def listed(self, kind: api.ListKind, version: int, members: tuple[api.Member, ...]) -> None:
         """The list, or changes to it."""
         if kind is not api.ListKind.DELTA:
@@ -339,12 +364,13 @@
             order.keep, order.max_age, order.join = action.keep, action.max_age, action.join
             order.held_only, order.renew = action.held_only, action.renew
             order.parent_passes = action.parent_passes
+        order.written = self.figures.written
         order.may_go = lambda: self._ready(order.member, order.source)
         order.member_ready = lambda: self._ready(order.member)
         order.age_now = lambda: self._age(order)
         scope = anyio.CancelScope(deadline=anyio.current_time() + max(0.0, until - now) + 1e-3)
         life.out[n] = (order, scope, now)
-        self.figures.asked(action.member, now, ask.klass)
+        self.figures.asked(action.member, now, self.classes.names[ask.klass])
         if life.due is None and life.inline is None and len(life.out) == 1:
             life.due = (n, order, scope)
             life.news.set()
--- a/zincladder/core/figures.py
+++ b/zincladder/core/figures.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import Counter
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 
 from zincladder import interface as api
@@ -10,6 +11,7 @@
 
 # Ends by which a member has shown that it is there: it said something that could be read.
 ANSWERED = frozenset((How.SERVED, How.SAME, How.LACKING, How.FULL, How.FAULTED, How.TOO_LATE))
+MOST_CLASSES = 64  # that are counted, with those dropped
 FORGOTTEN = 30.0  # seconds after the last question
 
 
@@ -32,8 +34,10 @@
 
     def __init__(self) -> None:
         self.members: dict[api.MemberId, MemberFigures] = {}
-        self.answers: Counter[tuple[int, str]] = Counter()  # by class and kind
-        self.attempts: Counter[int] = Counter()  # by class
+        self.answers: Counter[tuple[str, str]] = Counter()  # by class and kind
+        self.attempts: Counter[str] = Counter()  # by class
+        self.forwards = 0  # attempts written whole
+        self.classes: dict[str, None] = {}  # that are counted, the oldest first
 
     def keep_only(self, members: dict[api.MemberId, api.Member]) -> None:
         """Guards memory through a day in which members are replaced under new ids."""
@@ -43,7 +47,25 @@
             if member not in self.members:
                 self.members[member] = MemberFigures()
 
-    def asked(self, member: api.MemberId, now: float, klass: int | None = None) -> None:
+    def keep_classes(self, names: Iterable[str], held: Iterable[str]) -> None:
+        """Guards memory against classes that come and go under new names: the oldest are forgotten."""
+        self.classes |= dict.fromkeys(names)
+        kept = {*names, *held}
+        for name in [n for n in self.classes if n not in kept][: max(0, len(self.classes) - MOST_CLASSES)]:
+            del self.classes[name]
+            self.attempts.pop(name, None)
+            for key in [key for key in self.answers if key[0] == name]:
+                del self.answers[key]
+
+    def answered(self, klass: str, kind: str) -> None:
+        """A request has got its answer: 'served', 'refused' or 'failed'."""
+        self.answers[klass, kind] += 1
+
+    def written(self) -> None:
+        """The last byte of an attempt is on its way."""
+        self.forwards += 1
+
+    def asked(self, member: api.MemberId, now: float, klass: str | None = None) -> None:
         """An attempt, or with no class a probe, is on its way."""
         if klass is not None:
             self.attempts[klass] += 1
--- a/zincladder/decide.py
+++ b/zincladder/decide.py
@@ -20,9 +20,7 @@
 UNEVEN = 1.5  # and only past so many times its neighbours' mean: slow fills crowd all caches alike
 PROMPT = 1.0  # of a class's base aim that a strain may add to a request's sending; past it, it is refused
 LINK_FULL = 2.5  # transfers on the location's link over those at full pace; fills then crawl past the aim
-PARENT_PART = (
-    0.2  # a parent's link, of the pooled links of the caches that it stands behind: the least likely
-)
+PARENT_PART = 0.2  # a parent's link, of the pooled links of the caches behind it: the least likely
 CORES_AT = (0.25, 0.8)  # how busy a cache must be for its report to tell its cores
 REPORTS_LEAST = 3  # before they are gone by: one alone is noise
 CORES_STEPS = (0.02, 0.1)  # weight of a report that tells of more cores, and of fewer: rather too few
@@ -113,6 +111,7 @@
     work: float  # its sending time
     home: int  # place on the cache ring of the part: parts are kept each by itself, so each has its home
     origin: int  # place on the parent ring of the object: all its fills meet at one parent
+    most: int  # attempts that it may have
     sends: int = 0
     out: set[int] = field(default_factory=set)  # numbers of its attempts
     tried: set[api.MemberId] = field(default_factory=set)
@@ -127,7 +126,7 @@
     """Decides for one router. Give it every event in order; carry out the actions in order."""
 
     def __init__(self, settings: api.Settings, seed: int) -> None:
-        self.settings = settings
+        self._retune(api.NewSettings(settings, (-1,) * len(settings.classes)))
         self.random = Random(seed)
         self.seen: dict[api.MemberId, Seen] = {}
         self.caches, self.parents = Ring({}), Ring({})
@@ -137,16 +136,12 @@
         self.timers: dict[int, tuple[int, int]] = {}
         self.tokens = 0
         self.purges: dict[tuple[int | None, int], float] = {}
-        # Sending times by class. Where sizes are not told, the base aim stands until hits have been timed.
-        self.mean_work = [0.0] * len(settings.classes)
-        self.timed = [0] * len(settings.classes)
         self.out_there, self.weight_there = 0, 1.0  # attempts out at the location's caches; their weights
         self.cores = 1.0  # transfers that one cache sends at full pace: judged where weights are not listed
         self.spare = ORIGIN_MOST  # fills from the origin that are left to this router
         self.near = 1.0  # share of what was asked of a neighbour that it held, lately
         self.reports = 0  # of caches, that told of their cores
         self.link = 0.0  # how full the location's link is, as last reported
-        self.zone_routers = max(1, *settings.routers_by_zone[settings.zone : settings.zone + 1], 1)
         self.out: list[api.Action] = []
 
     def handle(self, event: api.Event, now: float) -> list[api.Action]:
@@ -172,8 +167,18 @@
                 self._over(event.request)
             case api.ProbeEnded():
                 self._report(event.member, event.report)
+            case api.NewSettings():
+                self._retune(event)
         return self.out
 
+    def _retune(self, event: api.NewSettings) -> None:
+        """Open requests hold their class and attempts; what was learned of a class that stays is kept."""
+        self.settings = s = event.settings
+        # Sending times by class. Where sizes are not told, the base aim stands until hits have been timed.
+        self.mean_work: list[float] = [self.mean_work[i] if i >= 0 else 0.0 for i in event.learned]
+        self.timed: list[int] = [self.timed[i] if i >= 0 else 0 for i in event.learned]
+        self.zone_routers = max(1, *s.routers_by_zone[s.zone : s.zone + 1], 1)
+
     # The list ---------------------------------------------------------------------------------
 
     def _listed(self, event: api.MemberList, now: float) -> None:
@@ -240,10 +245,8 @@
             return member.weight
         if member.kind != s.parent_kind:
             return self.cores
-        places = sum(n > 0 for n in s.routers_by_zone)
-        return max(
-            1.0, PARENT_PART * self.cores * len(self.caches.ids) * places / max(1, len(self.parents.ids))
-        )
+        behind = len(self.caches.ids) * sum(n > 0 for n in s.routers_by_zone) / max(1, len(self.parents.ids))
+        return max(1.0, PARENT_PART * self.cores * behind)
 
     def _pick(self, ring: Ring, job: Job, work: float, now: float) -> Seen | None:
         """The first member on the object's walk that may be asked; a trial is taken where one is due.
@@ -336,13 +339,13 @@
             work = self.mean_work[request.klass] = mean or klass.aim
         name = request.object.to_bytes(8, "big")
         home = point(name + request.part.to_bytes(4, "big")) if request.part else point(name)
-        self.jobs[request.id] = Job(request, klass, work, home, point(name))
+        self.jobs[request.id] = Job(request, klass, work, home, point(name), self.settings.max_attempts)
         self._place(self.jobs[request.id], now)
 
     def _place(self, job: Job, now: float) -> None:
         """Sends the next attempt of a request, or gives its final answer."""
         s, request = self.settings, job.request
-        if job.sends >= min(TRIES, s.max_attempts) or now >= request.due:
+        if job.sends >= min(TRIES, job.most) or now >= request.due:
             return self._give_up(job)
         origin = self.seen.get(self.origin) if self.origin else None
         cache = self._pick(self.caches, job, self.mean_work[request.klass], now)
@@ -505,9 +508,8 @@
         server = cache if direct else source
         if server and (direct or event.note in (api.Note.FILLED, api.Note.FILLED_VIA_ORIGIN)):
             pace = (event.latency - event.fill_wait) / max(attempt.work, YOUNGEST)
-            server.slow += (MEMORY if attempt.told else RECENT) * (
-                pace - server.slow
-            )  # untold: sizes are noise
+            share = MEMORY if attempt.told else RECENT  # untold: sizes are noise
+            server.slow += share * (pace - server.slow)
             self._mark(server, False, now)
         if event.result is api.Result.TIMED_OUT and cache and cache.heard_at > attempt.sent_at:
             return  # slow, not silent
--- a/zincladder/dns/answers.py
+++ b/zincladder/dns/answers.py
@@ -31,10 +31,9 @@
 class Target:
     """What a host name stands for."""
 
-    klass: int
+    klass: str
     object: int
     group: int
-    write: bool
 
 
 class Answers:
@@ -46,9 +45,7 @@
         self._core, self._where, self._deadline = core, where, config.deadline
         self._zone = dns.name.from_text(config.zone)
         self._hosts = {
-            dns.name.from_text(host.name): Target(
-                host.klass, host.object, host.group, core.settings.classes[host.klass].never_kept
-            )
+            dns.name.from_text(host.name): Target(core.classes.names[host.klass], host.object, host.group)
             for host in config.hosts
         }
         # Names that exist though nothing is stored at them: the zone's own and those above a host's service.
@@ -135,8 +132,11 @@
         """One member, one address: never a second name or address that a write could be tried at again."""
         due = arrived + self._deadline
         member = None
-        if self._core.clock.now() < due:
-            ask = Ask("", target.klass, target.object, None, target.group, due, write=target.write)
+        now = self._core.clock.now()
+        klass = self._core.classes.number(target.klass, now)
+        if klass is not None and now < due:
+            write = self._core.settings.classes[klass].never_kept
+            ask = Ask("", klass, target.object, None, target.group, due, write=write)
             member = self._core.steer(ask)
         where = self._where(member) if member is not None else None
         if where is None:
--- a/zincladder/interface.py
+++ b/zincladder/interface.py
@@ -261,6 +261,14 @@
     data: bytes
 
 
+@dataclass(frozen=True, slots=True)
+class NewSettings:
+    """Other settings from now on. `learned` gives for each class whose figures it goes on with, or -1."""
+
+    settings: Settings
+    learned: tuple[int, ...]
+
+
 Event = (
     MemberList
     | Request
@@ -271,6 +279,7 @@
     | TimerFired
     | ProbeEnded
     | PeerMessage
+    | NewSettings
 )
 
 
--- a/zincladder/metrics/registry.py
+++ b/zincladder/metrics/registry.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterator, Sequence
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 
 from zincladder.admission.gate import Admission, Gate
@@ -87,9 +87,7 @@
         front: str,
         connected: Callable[[], bool],
         admission: Admission,
-        classes: Sequence[str] = (),
     ) -> None:
-        self._classes = classes
         self._core, self._front, self._connected, self._admission = core, front, connected, admission
 
     def samples(self) -> Iterator[Sample]:
@@ -113,10 +111,10 @@
     def _of_figures(self, front: tuple[str, str]) -> Iterator[Sample]:
         figures, now = self._core.figures, self._core.clock.now()
         for (klass, kind), count in sorted(figures.answers.items()):
-            labels = (front, ("class", self._classes[klass]), ("kind", kind))
+            labels = (front, ("class", klass), ("kind", kind))
             yield Sample(CLASS["answers"][0], labels, float(count))
         for klass, count in sorted(figures.attempts.items()):
-            yield Sample(CLASS["attempts"][0], (front, ("class", self._classes[klass])), float(count))
+            yield Sample(CLASS["attempts"][0], (front, ("class", klass)), float(count))
         for member, found in list(figures.members.items()):
             cache = (front, ("cache", member.decode("latin-1")))
             for key, counts in (("attempts", found.ends), ("probes", found.probes)):
--- a/zincladder/net/caches.py
+++ b/zincladder/net/caches.py
@@ -202,10 +202,12 @@
 class Caches:
     """Connections to all members: the carrier of the core."""
 
-    def __init__(self, config: Config, now: Callable[[], float], ledger: Ledger) -> None:
+    def __init__(
+        self, config: Config, now: Callable[[], float], ledger: Ledger, class_names: Sequence[str]
+    ) -> None:
         self._config, self._now, self._ledger = config, now, ledger
         self._names = config.settings.report_names
-        self._class_names = config.names.classes
+        self._class_names = class_names  # by number; new settings change it in place
         self._addresses: dict[api.MemberId, Address] = {}
         self._links: dict[api.MemberId, list[_Link]] = {}
         self._tasks: TaskGroup | None = None
@@ -277,11 +279,18 @@
         waiting = link.open[name] = _Waiting(order is None, order is not None and bool(order.ask.tag))
         link.take(name)
         began, received = monotonic(), link.inbox.received
-        entry = waiting.entry = link.outbox.put(parts, order.may_go if order else None)
+
+        def gone(written: bool) -> None:
+            if order is not None and written:
+                order.written()
+            elif order is not None:
+                waiting.finish(
+                    _turned(order)
+                )  # guards the request: it waited in the queue and nobody else says
+
+        entry = waiting.entry = link.outbox.put(parts, order.may_go if order else None, gone)
         try:
             while waiting.end is None:
-                if entry.refused and order:
-                    return _turned(order)
                 await waiting.news.wait()
             return waiting.end
         finally:
--- a/zincladder/net/clients.py
+++ b/zincladder/net/clients.py
@@ -2,11 +2,12 @@
 
 from __future__ import annotations
 
+import contextlib
 import math
 import re
 import socket
 import time
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 from time import monotonic
 
@@ -35,6 +36,11 @@
 MEASURE = 1.0  # seconds between two measurements of what the loop costs
 TURN = 32  # messages of one client taken before the other tasks have their turn
 STAY = 0.8  # after SIGTERM clients go on coming for 0.6 s
+LEAST_STAY, LAST = (
+    3.0,
+    0.5,
+)  # SIGKILL comes 0.7 s after the longest deadline, counted as 3 s where it is shorter
+RETIRING = 0.005  # seconds between two looks at who may be closed then
 ID = re.compile(r"[0-9a-f]{16}", re.ASCII)
 TAG = re.compile(r"[0-9A-Za-z_-]{1,64}", re.ASCII)
 MOST_WRITE = 48_000  # bytes of a request's body
@@ -99,23 +105,31 @@
 class Clients:
     """The front's service on one listening socket."""
 
-    def __init__(self, config: Config, core: Core, admission: Admission) -> None:
+    def __init__(
+        self, config: Config, core: Core, admission: Admission, listening: socket.socket | None = None
+    ) -> None:
         self._core, self._config, self._admission = core, config, admission
-        self._classes = {name: i for i, name in enumerate(config.names.classes)}
         self._clients: dict[Seat, _Client] = {}
         self._traces: set[str] = set()  # of the requests that are open
-        self._changed = anyio.Event()
         self._accepting = anyio.CancelScope()
         self._warn = Sparing()
         self._tasks: TaskGroup | None = None
-        self._door = Door(config.listen, admission, lambda: self._config.sockets, self._seat, self._evict)
+        self._door = Door(
+            config.listen, admission, lambda: self._config.sockets, self._seat, self._evict, listening
+        )
+        self.succeeded: Callable[[], bool] = lambda: False  # another process takes new clients from the queue
         self.stopping = False
+        self._until = math.inf
 
     def use(self, config: Config) -> None:
         """A configuration that was read again: its limits hold from now on."""
         self._config = config
         self._door.measure()
 
+    @property
+    def listener(self) -> socket.socket:
+        return self._door.listener
+
     @property
     def address(self) -> tuple[str, int]:
         return self._door.address
@@ -126,22 +140,44 @@
         async with anyio.create_task_group() as self._tasks:
             self._tasks.start_soon(self._sweep)
             await self._door.run(self._accepting)
-            while self._traces:  # each ends by its own deadline
-                self._changed = anyio.Event()
-                await self._changed.wait()
-            with anyio.move_on_after(1.0):
-                while any(c.outbox.size for c in self._clients.values()):
-                    await anyio.sleep(0.01)
+            while self._clients and monotonic() < self._until:
+                for client in list(self._clients.values()):
+                    self._retire(client)
+                await anyio.sleep(RETIRING)
             self._tasks.cancel_scope.cancel()
 
     async def stop(self, stopping: anyio.Event) -> None:
         """Guards a planned restart: says so to `status`, but takes what still comes for a while."""
         await stopping.wait()
         self.stopping = True
-        log.info("stopping", open=len(self._traces))
-        await anyio.sleep(STAY)
+        longest = max(klass.deadline for klass in self._core.settings.classes)
+        self._until = monotonic() + max(LEAST_STAY, longest) + LAST
+        log.info("stopping", open=len(self._traces), clients=len(self._clients))
+        if self.succeeded():
+            self._door.hand_on = True
+        else:
+            await anyio.sleep(STAY)
         self._accepting.cancel()
 
+    def _retire(self, client: _Client) -> None:
+        """Closes a connection on which nothing is open, unwritten or unread.
+
+        Guards a request that is on its way: it is looked for at the last moment, and the end is told at once.
+        """
+        if client.open or client.outbox.size or client.inbox.buffered() or client.ended:
+            return
+        try:
+            if client.sock.recv(1, socket.MSG_PEEK):
+                return
+        except BlockingIOError:
+            pass
+        except OSError:
+            return  # its reader hears of it
+        with contextlib.suppress(OSError):
+            client.sock.shutdown(socket.SHUT_WR)
+        self._core.counts["client_ends", How.IDLE.name.lower()] += 1
+        client.end()
+
     def _seat(self, sock: socket.socket, decision: Decision) -> None:
         now = monotonic()
         seat = self._admission.seat(decision, now)
@@ -311,7 +347,7 @@
             open_now, behind = len(self._traces), round(self._core.behind, 3)
             most = self._config.most_open
             self._warn.warning("too much to do", why=why.value, open=open_now, most=most, behind=behind)
-            self._core.counts["answers", "refused"] += 1
+            self._core.answered(ask.klass, "refused")
             pause = self._core.settings.max_retry_after
             client.outbox.put(_reply(call.seq, Answer("refused", retry_after=pause)))
             return
@@ -333,9 +369,9 @@
             return fields[key]
 
         route = fields.get("route", "")
-        if route not in self._classes:
+        klass = self._core.classes.number(route, arrived)
+        if klass is None:
             raise BadFields(f"'route' names no class: {route[:20]!r}")
-        klass = self._classes[route]
         tag, trace = fields.get("seen", ""), name("trace")
         if "seen" in fields and not TAG.fullmatch(tag):
             raise BadFields(f"'seen' must be a tag, not {tag[:20]!r}")
@@ -378,6 +414,7 @@
                     client.outbox.put(_reply(seq, answer))
         except Exception:
             log.exception("request failed", trace=ask.trace)  # the process and its other requests go on
+            self._core.answered(ask.klass, "failed")
             client.outbox.put(thrift.thrown("handle", seq, 2, {}))
         finally:
             if client.open.get(seq) is taken:
@@ -386,7 +423,8 @@
             self._admission.closed(client.seat, client.used_at, served, size)
             self._traces.discard(ask.trace)
             client.room.set()
-            self._changed.set()
+            if self._accepting.cancel_called and not client.ended:
+                self._retire(client)  # right after an answer the next request is furthest away
 
 
 def _reply(seq: int, answer: Answer) -> list[bytes | bytearray]:
--- a/zincladder/net/door.py
+++ b/zincladder/net/door.py
@@ -37,6 +37,8 @@
     sock = socket.socket(family(where[0]), socket.SOCK_STREAM)
     try:
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        # At an upgrade the next process listens here before this one ends.
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
         if sock.family == socket.AF_INET6:
             sock.setsockopt(socket.IPPROTO_IPV6, socket.IPV6_V6ONLY, where[0] != "::")
         sock.setblocking(False)
@@ -67,8 +69,11 @@
         sockets: Callable[[], int],
         seat: Callable[[socket.socket, Decision], None],
         evict: Callable[[Seat, Why], None],
+        listening: socket.socket | None = None,
     ) -> None:
-        self._listener = listener(listen)
+        """`listening` is the socket of another process of this front; without one it listens anew."""
+        self.listener = listening or listener(listen)
+        self.hand_on = False  # another process takes what still waits
         self._admission, self._sockets, self._seat, self._evict = admission, sockets, seat, evict
         self._spare: int | None = os.open(os.devnull, os.O_RDONLY | os.O_CLOEXEC)
         self._pause = PAUSES[0]
@@ -78,7 +83,7 @@
 
     @property
     def address(self) -> Address:
-        host, port, *_ = self._listener.getsockname()
+        host, port, *_ = self.listener.getsockname()
         return host, port
 
     async def run(self, accepting: anyio.CancelScope) -> None:
@@ -91,10 +96,11 @@
                         # costs more than the turning away. They come in handfuls; nobody waits for long.
                         await anyio.sleep(WAIT)
                     else:
-                        await anyio.wait_readable(self._listener)
-            await self._admit()
+                        await anyio.wait_readable(self.listener)
+            if not self.hand_on:
+                await self._admit()
         finally:
-            self._listener.close()
+            self.listener.close()
             while self._lobby:
                 turn_away(self._lobby.popleft()[0])
             if self._spare is not None:
@@ -117,7 +123,7 @@
                 await anyio.sleep(WAIT)  # they wait in the system's queue: nothing of theirs is lost there
                 return False
             try:
-                sock, peer = self._listener.accept()
+                sock, peer = self.listener.accept()
             except (BlockingIOError, InterruptedError):
                 return turned
             except OSError as fault:
@@ -201,7 +207,7 @@
             self._spare = None
         with contextlib.suppress(OSError):
             for _ in range(TURN):
-                turn_away(self._listener.accept()[0])
+                turn_away(self.listener.accept()[0])
         with contextlib.suppress(OSError):
             self._spare = os.open(os.devnull, os.O_RDONLY | os.O_CLOEXEC)
         await anyio.sleep(self._pause)
--- a/zincladder/net/feed.py
+++ b/zincladder/net/feed.py
@@ -116,7 +116,7 @@
 
     def __init__(self, coordinator: Address, last: int, tell: Callable[[News], None]) -> None:
         self._coordinator, self.last, self._tell = coordinator, last, tell
-        self.connected = False
+        self.connected = self.heard = False  # followed now; and at least once
         self._turn = anyio.CancelScope()
         self._pause = RETRY[0]
 
@@ -156,7 +156,7 @@
                     if not HEAD.size - 4 <= length <= MOST_FRAME:
                         raise Ended(How.GARBLED, f"a frame of {length} bytes")
                     payload = await inbox.exactly(length - (HEAD.size - 4))
-                self.connected = True
+                self.connected = self.heard = True
                 news = read_frame(kind, number, payload)
                 if news is not None and number > self.last:
                     self._tell(news)
--- a/zincladder/net/stream.py
+++ b/zincladder/net/stream.py
@@ -122,13 +122,13 @@
 class Entry:
     """One message on its way out: its parts, and what to ask when its first byte is about to go."""
 
-    __slots__ = ("begun", "done", "may_go", "parts", "refused")
+    __slots__ = ("begun", "done", "may_go", "parts")
 
     def __init__(self, parts: Sequence[Part], may_go: Callable[[], bool] | None) -> None:
         self.parts = [memoryview(p) for p in parts if len(p)]
         self.may_go = may_go
-        self.begun = self.refused = False
-        self.done: Callable[[], None] | None = None
+        self.begun = False
+        self.done: Callable[[bool], None] | None = None  # told whether it was written
 
     def take(self, sent: int) -> int:
         """Takes written bytes off; gives how many were not this message's."""
@@ -142,6 +142,16 @@
                 self.parts[0] = self.parts[0][step:]
         return sent
 
+    def over(self, written: bool) -> None:
+        """Tells whoever waits for it, once.
+
+        Guards memory: who is told holds the message, and a circle of the two would keep an answer until
+        the next collection.
+        """
+        done, self.done = self.done, None
+        if done:
+            done(written)
+
 
 class Counter(Protocol):
     """Counts the bytes that wait in an outbox."""
@@ -171,9 +181,11 @@
         self,
         parts: Sequence[Part],
         may_go: Callable[[], bool] | None = None,
-        done: Callable[[], None] | None = None,
+        done: Callable[[bool], None] | None = None,
     ) -> Entry:
-        """Writes what the socket takes at once; `run` writes the rest. `done` is called at the last byte."""
+        """Writes what the socket takes at once; `run` writes the rest. `done` hears of the last byte, or that
+        `may_go` turned it back.
+        """
         entry = Entry(parts, may_go)
         entry.done = done
         if not self._queue and self._at_once(entry):
@@ -200,8 +212,7 @@
         entry.take(sent)
         if entry.parts:
             return False
-        if entry.done:
-            entry.done()
+        entry.over(True)
         return True
 
     def _grow(self, change: int) -> None:
@@ -218,6 +229,7 @@
         """Takes back a message of which no byte was written; False if one was."""
         if entry.begun:
             return False
+        entry.done = None
         if entry in self._queue:
             self._queue.remove(entry)
             self._grow(-sum(map(len, entry.parts)))
@@ -235,10 +247,9 @@
                     break
                 parts.extend(entry.parts)
             for entry in turned:
-                entry.refused = True  # told otherwise since it was queued
-                self.drop(entry)
-                if entry.done:
-                    entry.done()
+                self._queue.remove(entry)  # told otherwise since it was queued
+                self._grow(-sum(map(len, entry.parts)))
+                entry.over(False)
             if not parts:
                 continue
             try:
@@ -258,8 +269,7 @@
             if entry.parts:
                 return
             self._queue.popleft()
-            if entry.done:
-                entry.done()
+            entry.over(True)
 
     async def run(self, patience: float) -> None:
         """Writes what `put` could not; ends with Ended when the peer reads nothing for too long."""
