--- /dev/null
+++ b/tests/test_operating_day.py
@@ -0,0 +1,457 @@
+"""The operating day: operators' calls, figures, new settings while requests are open, upgrades."""
+
+from __future__ import annotations
+
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import threading
+import time
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+import anyio
+import anyio.abc
+import pytest
+
+from tests.conftest import ORIGIN_MEMBER, Driver, cache, finals, get, sends, settings
+from tests.stands import (
+    SETTINGS,
+    Client,
+    Coordinator,
+    Fetch,
+    StubCache,
+    World,
+    client,
+    configuration,
+    serve,
+    world,
+)
+from zincladder import config as configs
+from zincladder import interface as api
+from zincladder.config import ConfigError, config_of, renewed, shared
+from zincladder.control.calls import MOST_LINE, Calls, Line
+from zincladder.core.classes import LEAVING, Classes
+from zincladder.core.figures import MOST_CLASSES, Figures
+from zincladder.handover.model import MOST_COMPANIONS, Companions, Foreign, Hello, decode
+
+pytestmark = pytest.mark.anyio
+READ = api.RequestClass(aim=0.3, deadline=2.0)
+WRITE = api.RequestClass(aim=0.3, deadline=2.0, effect=api.Effect.UNSAFE, never_kept=True)
+
+# Calls --------------------------------------------------------------------------------------------
+
+
+def test_ready_says_what_is_missing_and_stats_ends_with_eot() -> None:
+    why = ""
+    calls = Calls(lambda: why, lambda: [("succeeded.page", 812), ("outstanding", 14)])
+    assert calls.answer(b"READY\r") == b"SUCCESS\n"
+    why = "this process is ending"
+    assert calls.answer(b"READY") == b"FAILURE this process is ending\n"
+    assert calls.answer(b"STATS") == b"app.succeeded.page=812\napp.outstanding=14\nEOT\n"
+
+
+@pytest.mark.parametrize("line", [b"", b"ready", b"STATS now", b"\xff\xfe\x00", b"x" * 200])
+def test_a_call_that_is_not_known_gets_one_line_that_says_so(line: bytes) -> None:
+    said = Calls(str, list).answer(line)
+    assert said.startswith(b"FAILURE ") and said.count(b"\n") == 1 and said.isascii() and len(said) < 200
+
+
+def test_a_line_comes_in_pieces_and_is_bounded() -> None:
+    line = Line()
+    assert [line.take(b) for b in (b"RE", b"A", b"DY\nmore")] == [None, None, b"READY"]
+    with pytest.raises(ValueError, match="over"):
+        Line().take(b"x" * (MOST_LINE + 1))
+
+
+async def call(w: World, line: bytes = b"STATS\n") -> bytes:
+    assert w.listening.operators
+    async with await anyio.connect_tcp(*w.listening.operators) as stream:
+        await stream.send(line)
+        said = b""
+        with anyio.fail_after(1.0):
+            while True:
+                try:
+                    said += await stream.receive()
+                except anyio.EndOfStream:
+                    return said
+
+
+def read(said: bytes) -> dict[str, int]:
+    lines = said.decode().splitlines()
+    assert lines[-1] == "EOT"
+    return {name: int(value) for name, _, value in (line.partition("=") for line in lines[:-1])}
+
+
+async def test_the_address_answers_beside_callers_who_say_nothing() -> None:
+    async with world(serve, control="127.0.0.1:0", limits={"sockets": 64}) as w:
+        assert w.listening.operators
+        held = [socket.create_connection(w.listening.operators) for _ in range(20)]
+        for sock in held[::2]:
+            sock.sendall(b"STA")
+        while await call(w, b"READY\n") != b"SUCCESS\n":
+            await anyio.sleep(0.05)
+        assert read(await call(w))["app.discovered"] == 1
+        held[-2].sendall(b"TS\n")  # the last to come still has its place
+        assert (await anyio.to_thread.run_sync(held[-2].recv, 4096)).startswith(b"app.")
+        for sock in held:
+            sock.close()
+
+
+async def test_each_end_of_a_request_is_counted_once_under_its_class() -> None:
+    async def script(_: StubCache, fetch: Fetch) -> None:
+        await fetch.answer(500)
+
+    async with world(serve, origin=script, control="127.0.0.1:0") as w, client(w) as c:
+        before = read(await call(w))
+        assert before["app.aborted.booking"] == before["app.succeeded.page"] == before["app.forwards"] == 0
+        for route in ("page", "page", "booking", "nonsense"):
+            await c.ask(route=route)
+            await c.reply()
+        after = read(await call(w))
+        ends = {name: count for name, count in after.items() if count and "." in name[4:]}
+        # A class that does not exist is counted under none.
+        assert ends == {"app.succeeded.page": 2, "app.aborted.booking": 1}
+        assert after["app.forwards"] == 3 and after["app.outstanding"] == 0
+
+
+def test_classes_that_come_and_go_all_day_are_bounded_in_the_figures() -> None:
+    figures = Figures()
+    for i in range(10 * MOST_CLASSES):
+        figures.keep_classes([f"c{i}", "page"], ())
+        figures.answered(f"c{i}", "served")
+        figures.answered("page", "served")
+    assert len(figures.classes) <= MOST_CLASSES + 2 and len(figures.answers) <= MOST_CLASSES + 2
+    assert figures.answers["page", "served"] == 10 * MOST_CLASSES
+
+
+# New settings -------------------------------------------------------------------------------------
+
+
+def test_an_open_request_keeps_its_number_and_rules_through_any_change() -> None:
+    table = Classes(["page", "scan"], [READ, READ])
+    assert table.take(["page", "scan"], [READ, WRITE], {1}, 0.0) == (0, 1, 1)
+    assert table.number("scan", 0.0) == 2 and table.rules[1] == READ and table.rules[2] == WRITE
+    assert table.take(["page"], [READ], {1}, 10.0) == (0, 1, 2)  # dropped, with a request open under 1
+    assert table.number("scan", 10.0 + LEAVING / 2) == 2 and table.number("scan", 10.0 + LEAVING) is None
+    # Back again as a read: never under the number that an open request holds, nor the one that rests.
+    table.take(["page", "scan"], [READ, READ], {1}, 11.0)
+    assert table.number("scan", 11.0) == 3 and (table.names[1], table.rules[1]) == ("scan", READ)
+
+
+def test_numbers_are_used_again_once_nothing_holds_them() -> None:
+    table = Classes(["page"], [READ])
+    for i in range(100):
+        table.take(["page", f"c{i}"], [READ, READ], set(), i * 2 * LEAVING)
+    assert len(table.names) <= 3 and table.current["c99"] < 3 and table.current["page"] == 0
+
+
+def test_the_router_keeps_attempts_and_effect_of_what_is_open_and_what_it_has_learned() -> None:
+    d = Driver(max_attempts=4)
+    for n in range(1, 20):
+        d.serve(n, key=n, klass=1, kb=50.0)
+    learned = d.router.mean_work[1]
+    sent = get(d.ask(100, klass=0))
+    fewer = settings(max_attempts=1, classes=(*d.router.settings.classes[:3], READ, WRITE))
+    d.give(api.NewSettings(fewer, (0, 1, 2, -1, -1)))
+    assert d.router.mean_work[1] == learned > 0 and d.router.mean_work[3] == 0
+    again = sends(d.end(100, 0, sent.member, api.Result.UNREACHABLE))
+    assert len(again) == 1  # it was taken when four were allowed
+    first = get(d.ask(101, klass=0))
+    assert finals(d.end(101, 0, first.member, api.Result.UNREACHABLE))  # one now
+    write = sends(d.ask(102, klass=4))
+    assert [a.member for a in write] == [ORIGIN_MEMBER.id]
+    assert isinstance(finals(d.end(102, 0, ORIGIN_MEMBER.id, api.Result.RESET))[0], api.Fail)
+
+
+def test_a_process_more_at_this_front_halves_what_a_cold_cache_is_sent() -> None:
+    def sent(processes: int) -> int:
+        d = Driver([cache(0, started_at=99.0), ORIGIN_MEMBER], bypass=False)
+        s = d.router.settings
+        seats = (0, s.routers_by_zone[1] + 2 * (processes - 1), 2)
+        d.give(api.NewSettings(settings(bypass=False, routers_by_zone=seats), tuple(range(4))))
+        count = 0
+        for n in range(400):
+            d.now += 0.01
+            count += bool(sends(d.ask(n, key=n, kb=30.0)))
+        return count
+
+    assert sent(1) > 0 and sent(2) == pytest.approx(sent(1) / 2, rel=0.2)
+
+
+def test_processes_of_one_front_share_its_limits() -> None:
+    whole = config_of(configuration([], limits={"memory_mb": 80, "sockets": 384}))
+    half = shared(whole, 2)
+    assert shared(whole, 1) is whole and half.sockets == 192 and half.settings.routers == 2
+    assert half.settings.routers_by_zone == (0, 2) and 2 * half.most_open < whole.most_open
+    assert shared(config_of(configuration([], limits={"memory_mb": 32})), 2).most_open > 20
+
+
+def test_a_class_that_no_request_ever_used_is_dropped_without_a_trace() -> None:
+    table = Classes(["page", "scan"], [READ, READ])
+    table.take(["page"], [READ], set(), 0.0)
+    assert table.number("scan", LEAVING) is None and table.current == {"page": 0}
+
+
+def changed(change: Callable[[dict[str, Any]], object]) -> dict[str, Any]:
+    data: dict[str, Any] = json.loads(json.dumps(configuration([], 4222)))
+    change(data)
+    return data
+
+
+@pytest.mark.parametrize(
+    ("change", "key"),
+    [
+        (lambda d: d.pop("settings"), "settings"),
+        (lambda d: d.pop("coordinator"), "coordinator"),
+        (lambda d: d["settings"].pop("ceilings"), "settings.ceilings"),
+        (lambda d: d["settings"]["ceilings"].pop("attemptsCap"), "settings.ceilings.attemptsCap"),
+        (lambda d: d["settings"]["domain"].pop("freshFor"), "settings.domain.freshFor"),
+        (lambda d: d["settings"]["categories"][1].pop("deadline"), "settings.categories[1].deadline"),
+        (lambda d: d["settings"]["categories"][1].pop("effect"), "settings.categories[1].effect"),
+        (lambda d: d["settings"]["categories"][0].update(deadline=0), "settings.categories[0].deadline"),
+        (lambda d: d["settings"]["categories"][0].update(deadline=-1), "settings.categories[0].deadline"),
+        (lambda d: d["settings"]["categories"][0].update(deadline=float("nan")), "categories[0].deadline"),
+        (lambda d: d["settings"]["categories"][0].update(deadline=float("inf")), "categories[0].deadline"),
+        (lambda d: d["settings"]["categories"][0].update(deadline="2"), "settings.categories[0].deadline"),
+        (lambda d: d["settings"]["ceilings"].update(attemptsCap=0), "settings.ceilings.attemptsCap"),
+        (lambda d: d["settings"]["categories"].clear(), "settings.categories"),
+        (lambda d: d["settings"]["categories"][0].update(name="page"), "settings.categories"),
+        (lambda d: d["settings"].update(domain=[]), "settings.domain"),
+    ],
+)
+def test_a_file_that_is_not_whole_is_turned_down_with_its_key(
+    change: Callable[[dict[str, Any]], object], key: str
+) -> None:
+    old = config_of(changed(lambda d: None))
+    with pytest.raises(ConfigError) as fault:
+        renewed(old, config_of(changed(change)))
+    assert key in str(fault.value)
+
+
+def test_what_a_running_front_cannot_change_waits_for_the_next_start() -> None:
+    old = config_of(changed(lambda d: None))
+    new, waiting = renewed(
+        old, config_of(changed(lambda d: d.update(listen="127.0.0.1:9") or d["settings"].update(az=0)))
+    )
+    assert waiting == ["listen", "settings: zone"]
+    assert new.listen == old.listen and new.settings.zone == 1
+
+
+# A real process: SIGHUP and upgrades ----------------------------------------------------------------
+
+
+class Front:
+    """One real process, on addresses of its own."""
+
+    def __init__(self, folder: Path, config: dict[str, Any], **environ: str) -> None:
+        path = folder / "config.json"
+        path.write_text(json.dumps(config))
+        more = {
+            "RELAY_CONFIG": str(path),
+            "TMPDIR": str(folder),
+            "RELAY_CONTROL": f"127.0.0.1:{free()}",
+        } | environ
+        self.path, self.control = path, more["RELAY_CONTROL"]
+        self.process = subprocess.Popen(
+            [sys.executable, "-m", "zincladder"],
+            cwd=Path(configs.__file__).parents[2],
+            env=os.environ | more,
+            stderr=subprocess.DEVNULL,
+        )
+
+    def ask(self, line: bytes) -> bytes:
+        host, _, port = self.control.partition(":")
+        with socket.create_connection((host, int(port)), 1.0) as sock:
+            sock.sendall(line)
+            said = b""
+            while got := sock.recv(4096):
+                said += got
+        return said
+
+    def ready(self) -> bool:
+        try:
+            return self.ask(b"READY\n") == b"SUCCESS\n"
+        except OSError:
+            return False
+
+    async def until(self, true: Callable[[], bool]) -> None:
+        with anyio.fail_after(10):
+            while not await anyio.to_thread.run_sync(true):
+                await anyio.sleep(0.02)
+
+    async def ended(self) -> int:
+        with anyio.fail_after(10):
+            return await anyio.to_thread.run_sync(self.process.wait)
+
+
+def free() -> int:
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return int(sock.getsockname()[1])
+
+
+def with_classes(*classes: dict[str, Any], **ceilings: Any) -> dict[str, Any]:
+    return SETTINGS | {
+        "categories": [*SETTINGS["categories"], *classes],
+        "ceilings": SETTINGS["ceilings"] | ceilings,
+    }
+
+
+async def test_sighup_adds_a_class_turns_broken_files_down_and_keeps_what_is_open(tmp_path: Path) -> None:
+    gate = anyio.Event()
+
+    async def late(_: StubCache, fetch: Fetch) -> None:
+        await gate.wait()
+        await serve(_, fetch)
+
+    caches, coordinator = [StubCache("s-00000001", 0, late), StubCache("s-000000b0", 2)], Coordinator()
+    async with anyio.create_task_group() as tasks:
+        for stub in caches:
+            await tasks.start(stub.run)
+        await tasks.start(coordinator.run)
+        listen = f"127.0.0.1:{free()}"
+        plain = configuration([c.member() for c in caches], coordinator.port) | {"listen": listen}
+        front = Front(tmp_path, plain)
+        try:
+            await front.until(front.ready)
+            host, _, port = listen.partition(":")
+            async with await anyio.connect_tcp(host, int(port)) as stream:
+                c = Client(stream)
+                open_one = await c.ask(patience="5000")
+                while not caches[0].fetches:
+                    await caches[0].came.wait()
+                stamp = {"name": "stamp", "onTime": 0.8, "deadline": 3.0, "effect": "at_most_once"}
+                good = plain | {"settings": with_classes(stamp, attemptsCap=2)}
+                good["settings"]["domain"] = SETTINGS["domain"] | {"neverKept": [False, False, True, True]}
+                broken = (
+                    "",
+                    json.dumps(good)[:-9],
+                    json.dumps(plain | {"settings": with_classes(attemptsCap=0)}),
+                )
+                for i, text in enumerate((*broken, json.dumps(good))):
+                    front.path.write_text(text)
+                    front.process.send_signal(signal.SIGHUP)
+                    name = b"applied=1\n" if i == len(broken) else b"rejected=%d\n" % (i + 1)
+                    await front.until(lambda name=name: name in front.ask(b"STATS\n"))  # type: ignore[misc]
+                assert b"app.succeeded.stamp=0\n" in front.ask(b"STATS\n")
+                new = await c.ask(route="stamp")
+                assert (await c.reply()).seq == new and len(caches[1].fetches) == 1
+                gate.set()
+                assert (await c.reply()).seq == open_one
+            front.process.send_signal(signal.SIGTERM)
+            assert await front.ended() == 0
+        finally:
+            front.process.kill()
+        tasks.cancel_scope.cancel()
+
+
+class Storm:
+    """Threads that connect, ask for `status` and leave, all the time; what ends without an answer is lost."""
+
+    def __init__(self, where: tuple[str, int], threads: int = 4) -> None:
+        self.where, self.lost, self.answered, self._stop = where, 0, 0, False
+        self._threads = [threading.Thread(target=self._run) for _ in range(threads)]
+        for thread in self._threads:
+            thread.start()
+
+    def _run(self) -> None:
+        frame = b"\x80\x01\0\1\0\0\0\6status\0\0\0\1\x02\0\1\1\0"
+        while not self._stop:
+            try:
+                with socket.create_connection(self.where, 3.0) as sock:
+                    sock.sendall(len(frame).to_bytes(4, "big") + frame)
+                    good = len(sock.recv(64)) > 4
+            except OSError:
+                good = False
+            self.answered, self.lost = self.answered + good, self.lost + (not good)
+            time.sleep(0.001)
+
+    def end(self) -> None:
+        self._stop = True
+        for thread in self._threads:
+            thread.join()
+
+
+async def test_an_upgrade_loses_no_connection_and_no_request(tmp_path: Path) -> None:
+    cache_, origin = StubCache("s-00000001", 0), StubCache("s-000000b0", 2)
+    async with anyio.create_task_group() as tasks:
+        await tasks.start(cache_.run)
+        await tasks.start(origin.run)
+        where = ("127.0.0.1", free())
+        config = configuration([cache_.member(), origin.member()]) | {"listen": f"{where[0]}:{where[1]}"}
+        fronts = [Front(tmp_path, config)]
+        storm = None
+        try:
+            await fronts[0].until(fronts[0].ready)
+            storm = await anyio.to_thread.run_sync(Storm, where)
+            for _ in range(2):  # and an upgrade on an upgrade
+                busy = Client(await anyio.connect_tcp(*where))
+                fronts.append(Front(tmp_path, config))
+                await fronts[-1].until(fronts[-1].ready)
+                kinds = set()
+                fronts[-2].process.send_signal(signal.SIGTERM)
+                try:
+                    for i in range(10_000):  # never idle: answered until the connection is closed between two
+                        await busy.ask(trace=f"{i + 1:016x}")
+                        kinds.add((await busy.reply()).kind)
+                except (anyio.EndOfStream, anyio.BrokenResourceError, anyio.ClosedResourceError):
+                    pass
+                assert kinds <= {"served", "Throttled"} and await fronts[-2].ended() == 0
+                assert fronts[-1].ready()
+            await anyio.to_thread.run_sync(storm.end)
+            assert storm.lost == 0 and storm.answered > 50
+        finally:
+            if storm:
+                await anyio.to_thread.run_sync(storm.end)
+            for front in fronts:
+                front.process.kill()
+        tasks.cancel_scope.cancel()
+
+
+@pytest.mark.parametrize("left", ["torn", "dead", "folder"])
+async def test_what_a_killed_process_left_behind_harms_nothing(tmp_path: Path, left: str) -> None:
+    port = free()
+    path = tmp_path / f"zincladder-127.0.0.1-{port}.sock"
+    if left == "torn":
+        path.write_bytes(b"{")
+    elif left == "folder":
+        path.mkdir()
+    else:
+        with socket.socket(socket.AF_UNIX) as sock:
+            sock.bind(str(path))
+    front = Front(
+        tmp_path,
+        configuration([StubCache("s-000000b0", 2, port=1).member()]) | {"listen": f"127.0.0.1:{port}"},
+    )
+    try:
+        await front.until(front.ready)
+    finally:
+        front.process.kill()
+
+
+def test_a_hello_that_is_torn_or_foreign_is_not_believed() -> None:
+    good = Hello("127.0.0.1:80", 7).encode()
+    assert decode(good, "127.0.0.1:80").pid == 7
+    bad = (good[:-3], b"[]\n", b"\xff\n", good.replace(b": 1,", b": 2,"), good.replace(b"7", b'"x"'))
+    for data in bad:
+        with pytest.raises(Foreign):
+            decode(data, "127.0.0.1:80")
+    with pytest.raises(Foreign):
+        decode(good, "127.0.0.1:81")
+
+
+def test_companions_are_counted_until_they_leave_and_bounded() -> None:
+    companions = Companions()
+    old = companions.came(newer=False)
+    assert old and companions.processes == 2 and not companions.succeeded
+    new = companions.came(newer=True)
+    assert new and companions.succeeded
+    companions.left(old)
+    companions.left(new)
+    assert companions.processes == 1 and not companions.succeeded
+    assert [companions.came(True) is None for _ in range(MOST_COMPANIONS + 1)].count(True) == 1
