--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -193,12 +193,13 @@
         ours.setblocking(False)
         theirs.setblocking(False)
         outbox, inbox, allowed = Outbox(ours), Inbox(theirs), True
-        large = outbox.put([b"head\r\n", bytes(4_000_000)])  # more than the system takes at once
         heard: list[bool] = []
+        whole: list[bool] = []
+        large = outbox.put([b"head\r\n", bytes(4_000_000)], None, whole.append)  # more than the system takes
         late = outbox.put([b"late\r\n"], lambda: allowed, heard.append)
         dropped = outbox.put([b"dropped\r\n"])
         outbox.put([b"last\r\n"])
-        assert large.begun and not late.begun
+        assert large.begun and not late.begun and whole == []  # not counted before its last byte
         assert not outbox.drop(large) and outbox.drop(dropped)
         allowed = False
         async with anyio.create_task_group() as tasks:
@@ -207,7 +208,7 @@
             assert len(await inbox.exactly(4_000_000)) == 4_000_000
             assert await inbox.line(100) == b"last"
             tasks.cancel_scope.cancel()
-        assert heard == [False] and not late.begun and outbox.size == 0
+        assert heard == [False] and whole == [True] and not late.begun and outbox.size == 0
 
 
 @pytest.mark.parametrize("data", [b"x" * 9000, b"\r" * 9000])
--- a/tests/test_operating_day.py
+++ b/tests/test_operating_day.py
@@ -261,7 +261,7 @@
             [sys.executable, "-m", "zincladder"],
             cwd=Path(configs.__file__).parents[2],
             env=os.environ | more,
-            stderr=subprocess.DEVNULL,
+            stderr=(folder / f"log{len(list(folder.glob('log*')))}").open("wb"),
         )
 
     def ask(self, line: bytes) -> bytes:
@@ -413,6 +413,31 @@
         tasks.cancel_scope.cancel()
 
 
+async def test_a_newcomer_that_dies_leaves_the_old_one_all_and_the_next_meets_it(tmp_path: Path) -> None:
+    where = f"127.0.0.1:{free()}"
+    config = configuration([StubCache("s-000000b0", 2, port=1).member()]) | {"listen": where}
+    fronts = [Front(tmp_path, config)]
+    try:
+        await fronts[0].until(fronts[0].ready)
+        for _ in range(2):
+            fronts.append(Front(tmp_path, config))
+            await fronts[-1].until(fronts[-1].ready)
+            assert b"taken over" in (tmp_path / f"log{len(fronts) - 1}").read_bytes()
+            fronts[-1].process.kill()
+            log = tmp_path / "log0"
+            gone = len(fronts) - 1
+            await fronts[0].until(lambda log=log, gone=gone: log.read_bytes().count(b"has gone") == gone)  # type: ignore[misc]
+            path = tmp_path / f"zincladder-{where.replace(':', '-')}.sock"
+            inode = path.stat().st_ino  # of the one that died: the old one takes the path back
+            await fronts[0].until(lambda path=path, inode=inode: path.stat().st_ino != inode)  # type: ignore[misc]
+        assert fronts[0].ready()
+        fronts[0].process.send_signal(signal.SIGTERM)
+        assert await fronts[0].ended() == 0 and not path.exists()
+    finally:
+        for front in fronts:
+            front.process.kill()
+
+
 @pytest.mark.parametrize("left", ["torn", "dead", "folder"])
 async def test_what_a_killed_process_left_behind_harms_nothing(tmp_path: Path, left: str) -> None:
     port = free()
--- a/zincladder/__main__.py
+++ b/zincladder/__main__.py
@@ -198,7 +198,7 @@
             tell(core, caches, news)
         tasks.start_soon(core.run)
         if config.coordinator:
-            feed = Feed(config.coordinator, last, lambda news: tell(core, caches, news))
+            feed = Feed(config.coordinator, last, lambda news: tell(core, caches, news), config.seed)
             readiness.feed = feed
             tasks.start_soon(feed.run)
         reload.parts += [partial(retune, core), clients.use, caches.use, partial(bound, admission)]
--- a/zincladder/handover/host.py
+++ b/zincladder/handover/host.py
@@ -10,7 +10,7 @@
 import os
 import socket
 import struct
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 
 import anyio
 import structlog
@@ -19,12 +19,21 @@
 from zincladder.handover.model import MOST_HELLO, Companions, Foreign, Hello, decode
 
 PATIENCE = 1.0  # seconds for the other process's word
-MOST_PATH = 100  # bytes; sockaddr_un holds 108
 CREDENTIALS = struct.Struct("3i")
 REFUSED = (OSError, ValueError, Foreign, TimeoutError)
 log = structlog.get_logger()
 
 
+@contextlib.contextmanager
+def _short(path: str) -> Iterator[str]:
+    """The same place under a name of a few bytes: sockaddr_un holds 108, and a folder may take them all."""
+    folder = os.open(os.path.dirname(path), os.O_RDONLY | os.O_DIRECTORY | os.O_CLOEXEC)
+    try:
+        yield f"/proc/self/fd/{folder}/{os.path.basename(path)}"
+    finally:
+        os.close(folder)
+
+
 class Handover:
     """One process's part in an upgrade: first as the one that comes, later as the one that goes."""
 
@@ -42,7 +51,8 @@
         try:
             sock = socket.socket(socket.AF_UNIX)
             sock.settimeout(PATIENCE)
-            sock.connect(self._path)
+            with _short(self._path) as path:
+                sock.connect(path)
             sock.sendall(Hello(self._where, os.getpid()).encode())
             data, fds, _, _ = socket.recv_fds(sock, MOST_HELLO, 4)
             listening = self._checked(data, fds)
@@ -95,15 +105,14 @@
                     self._unpublish()
 
     def _publish(self) -> socket.socket:
-        if len(self._path.encode()) > MOST_PATH:
-            raise OSError(f"the path {self._path} is too long")
         server, mine = socket.socket(socket.AF_UNIX), f"{self._path}.{os.getpid()}"
         try:
             with contextlib.suppress(FileNotFoundError):
                 os.unlink(mine)
             old = os.umask(0o177)  # owner only, from the first moment
             try:
-                server.bind(mine)
+                with _short(mine) as path:
+                    server.bind(path)
             finally:
                 os.umask(old)
             server.listen(2)
--- a/zincladder/net/feed.py
+++ b/zincladder/net/feed.py
@@ -6,6 +6,7 @@
 import struct
 from collections.abc import Callable
 from dataclasses import dataclass
+from random import Random
 from typing import Any
 
 import anyio
@@ -27,6 +28,7 @@
 SILENCE = 1.6  # an empty frame follows each second
 CONNECT_LIMIT = 0.5
 RETRY = (0.05, 0.4)  # seconds between tries, doubled from the first to the second
+SPREAD = (0.5, 1.5)  # of these: a coordinator that comes back is not asked by all fronts at one moment
 log = structlog.get_logger()
 
 
@@ -114,7 +116,8 @@
 class Feed:
     """Follows the coordinator from the last known event on, for as long as the front runs."""
 
-    def __init__(self, coordinator: Address, last: int, tell: Callable[[News], None]) -> None:
+    def __init__(self, coordinator: Address, last: int, tell: Callable[[News], None], seed: int) -> None:
+        self._random = Random(seed)
         self._coordinator, self.last, self._tell = coordinator, last, tell
         self.connected = self.heard = False  # followed now; and at least once
         self._turn = anyio.CancelScope()
@@ -141,7 +144,7 @@
                     log.exception("coordinator lost", last=self.last)
                 finally:
                     self.connected = False
-                await anyio.sleep(self._pause)
+                await anyio.sleep(self._pause * self._random.uniform(*SPREAD))
                 self._pause = min(2 * self._pause, RETRY[1])
 
     async def _follow(self) -> None:
