--- a/tests/test_operating_day.py
+++ b/tests/test_operating_day.py
@@ -431,8 +431,22 @@
             inode = path.stat().st_ino  # of the one that died: the old one takes the path back
             await fronts[0].until(lambda path=path, inode=inode: path.stat().st_ino != inode)  # type: ignore[misc]
         assert fronts[0].ready()
+        ask = [sys.executable, "-m", "zincladder"]
+        for command, said in (
+            ("ready", b"SUCCESS"),
+            ("stats", b"discovered: 0"),
+            ("stats --json", b'"forwards": 0'),
+        ):
+            done = subprocess.run(
+                [*ask, *command.split(), fronts[0].control], capture_output=True, check=True
+            )
+            assert said in done.stdout
         fronts[0].process.send_signal(signal.SIGTERM)
         assert await fronts[0].ended() == 0 and not path.exists()
+        late = subprocess.run(
+            [*ask, "ready", "--wait", "0.3s", fronts[0].control], capture_output=True, check=False
+        )
+        assert late.returncode == 1 and b"refused" in late.stderr
     finally:
         for front in fronts:
             front.process.kill()
--- a/zincladder/cli/__init__.py
+++ b/zincladder/cli/__init__.py
@@ -11,6 +11,7 @@
 import click
 
 from zincladder.cli.admission import admission
+from zincladder.cli.day import ready, stats
 
 
 @click.group(context_settings={"help_option_names": ["-h", "--help"]})
@@ -59,4 +60,5 @@
     sys.exit(0 if good else 1)
 
 
-main.add_command(admission)
+for command in (admission, ready, stats):
+    main.add_command(command)
