Let an upgrade go through with all that an operator's file turns on

Need: with DNS, metrics or the control socket on, the next process ended with 'address in use' (exit 2): an upgrade was for the platform alone. DNS and metrics listen through SO_REUSEPORT; the control socket's path is taken at one moment by a process that was handed the clients' listener. Test with two upgrades of real processes, which fails without it. The SIGHUP test now names another coordinator in each broken file, the cause of the purges answered too old.

--- a/tests/test_operating_day.py
+++ b/tests/test_operating_day.py
@@ -309,11 +309,13 @@
         await gate.wait()
         await serve(_, fetch)
 
-    caches, coordinator = [StubCache("s-00000001", 0, late), StubCache("s-000000b0", 2)], Coordinator()
+    caches = [StubCache("s-00000001", 0, late), StubCache("s-000000b0", 2)]
+    coordinator, moved = Coordinator(), Coordinator()
     async with anyio.create_task_group() as tasks:
         for stub in caches:
             await tasks.start(stub.run)
         await tasks.start(coordinator.run)
+        await tasks.start(moved.run)
         listen = f"127.0.0.1:{free()}"
         plain = configuration([c.member() for c in caches], coordinator.port) | {"listen": listen}
         front = Front(tmp_path, plain)
@@ -326,6 +328,7 @@
                 while not caches[0].fetches:
                     await caches[0].came.wait()
                 stamp = {"name": "stamp", "onTime": 0.8, "deadline": 3.0, "effect": "at_most_once"}
+                plain["coordinator"] = f"127.0.0.1:{moved.port}"
                 good = plain | {"settings": with_classes(stamp, attemptsCap=2)}
                 good["settings"]["domain"] = SETTINGS["domain"] | {"neverKept": [False, False, True, True]}
                 broken = (
@@ -334,10 +337,14 @@
                     json.dumps(plain | {"settings": with_classes(attemptsCap=0)}),
                 )
                 for i, text in enumerate((*broken, json.dumps(good))):
+                    assert not moved.after  # no broken file's coordinator is followed
                     front.path.write_text(text)
                     front.process.send_signal(signal.SIGHUP)
                     name = b"applied=1\n" if i == len(broken) else b"rejected=%d\n" % (i + 1)
                     await front.until(lambda name=name: name in front.ask(b"STATS\n"))  # type: ignore[misc]
+                with anyio.fail_after(5):
+                    while not moved.after:
+                        await moved.followed.wait()
                 assert b"app.succeeded.stamp=0\n" in front.ask(b"STATS\n")
                 new = await c.ask(route="stamp")
                 assert (await c.reply()).seq == new and len(caches[1].fetches) == 1
@@ -413,6 +420,34 @@
         tasks.cancel_scope.cancel()
 
 
+async def test_an_upgrade_takes_along_all_that_an_operators_file_turns_on(tmp_path: Path) -> None:
+    dns, metrics, path = free(), free(), tmp_path / "c.sock"
+    operator = tmp_path / "operator.toml"
+    operator.write_text(
+        f'[dns]\nlisten = "127.0.0.1:{dns}"\nzone = "example.org"\n[[dns.host]]\nname = "p.example.org"\n'
+        f'class = "page"\n[metrics]\nlisten = "127.0.0.1:{metrics}"\n[control]\nsocket = "{path}"\n'
+        "[admission]\n"
+    )
+    member = StubCache("s-000000b0", 2, port=1).member()
+    config = configuration([member]) | {"listen": f"127.0.0.1:{free()}"}
+    fronts = [Front(tmp_path, config, ZINCLADDER_OPERATOR=str(operator))]
+    ask = [sys.executable, "-m", "zincladder", "admission", "--socket", str(path), "top"]
+    try:
+        for _ in range(2):
+            await fronts[-1].until(fronts[-1].ready)
+            fronts.append(Front(tmp_path, config, ZINCLADDER_OPERATOR=str(operator)))
+            await fronts[-1].until(fronts[-1].ready)
+            subprocess.run(ask, capture_output=True, check=True)
+            fronts[-2].process.send_signal(signal.SIGTERM)
+            assert await fronts[-2].ended() == 0
+            subprocess.run(ask, capture_output=True, check=True)  # the path is the new one's
+            for port in (dns, metrics):
+                socket.create_connection(("127.0.0.1", port), 1.0).close()
+    finally:
+        for front in fronts:
+            front.process.kill()
+
+
 async def test_a_newcomer_that_dies_leaves_the_old_one_all_and_the_next_meets_it(tmp_path: Path) -> None:
     where = f"127.0.0.1:{free()}"
     config = configuration([StubCache("s-000000b0", 2, port=1).member()]) | {"listen": where}
--- a/zincladder/__main__.py
+++ b/zincladder/__main__.py
@@ -231,7 +231,9 @@
             from zincladder.control.commands import AdmissionCommands
             from zincladder.control.server import ControlServer
 
-            control = ControlServer(operator.control, AdmissionCommands(admission).table, admission.ledger)
+            table = AdmissionCommands(admission).table
+            upgrade = listening_socket is not None
+            control = ControlServer(operator.control, table, admission.ledger, upgrade)
             tasks.start_soon(control.run)
         if operator.metrics or operator.remote_write:
             from zincladder.metrics.endpoint import Endpoint
--- a/zincladder/control/server.py
+++ b/zincladder/control/server.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import os
 import socket
 import stat
@@ -16,6 +17,7 @@
 from zincladder.config import ConfigError
 from zincladder.control.commands import MOST_LINE, Command, answer
 
+NEXT = ".n"  # beside the path, which may have 100 of the 108 bytes
 IDLE = 10.0  # seconds for a request
 log = structlog.get_logger()
 
@@ -24,8 +26,11 @@
     """The socket cannot be made; the text says why."""
 
 
-def bind(path: str) -> socket.socket:
-    """A listening socket at a path. One that a dead front left is replaced, anything else is left alone."""
+def bind(path: str, replaces: bool = False) -> socket.socket:
+    """A listening socket at a path. One that a dead front left is replaced, anything else is left alone.
+
+    With `replaces`, at an upgrade, the path is taken from the process that goes, at one moment.
+    """
     try:
         mode = os.lstat(path).st_mode
     except FileNotFoundError:
@@ -35,18 +40,26 @@
             raise ControlError(f"'control.socket': {path} is there and is no socket")
         with socket.socket(socket.AF_UNIX) as probe:
             try:
-                probe.connect(path)
+                if not replaces:
+                    probe.connect(path)
             except ConnectionRefusedError:
                 os.unlink(path)
             except OSError as fault:
                 raise ControlError(f"'control.socket': {path}: {fault.strerror}") from None
             else:
-                raise ControlError(f"'control.socket': another front listens at {path}")
+                if not replaces:
+                    raise ControlError(f"'control.socket': another front listens at {path}")
     sock = socket.socket(socket.AF_UNIX)
     old = os.umask(0o177)  # owner only, from the first moment
     try:
-        sock.bind(path)
+        name = path + NEXT if replaces else path
+        if replaces:
+            with contextlib.suppress(FileNotFoundError):
+                os.unlink(name)  # of one that was killed here
+        sock.bind(name)
         sock.listen(8)
+        if replaces:
+            os.rename(name, path)
         sock.setblocking(False)
     except OSError as fault:
         sock.close()
@@ -59,9 +72,11 @@
 class ControlServer:
     """Answers operators' commands until it is cancelled."""
 
-    def __init__(self, path: str, table: Mapping[str, Command], ledger: Ledger) -> None:
+    def __init__(
+        self, path: str, table: Mapping[str, Command], ledger: Ledger, replaces: bool = False
+    ) -> None:
         self._path, self._table, self._ledger = path, table, ledger
-        self._sock = bind(path)
+        self._sock = bind(path, replaces)
         self._inode = os.stat(path).st_ino
 
     async def run(self) -> None:
--- a/zincladder/dns/server.py
+++ b/zincladder/dns/server.py
@@ -34,6 +34,9 @@
         self._udp = socket.socket(family(listen[0]), socket.SOCK_DGRAM)
         self._tcp = socket.socket(family(listen[0]), socket.SOCK_STREAM)
         self._tcp.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        for sock in (self._udp, self._tcp):
+            # At an upgrade both processes answer: each from its own decisions, on the same list.
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
         try:
             self._tcp.bind(listen)
             self.address: Address = self._tcp.getsockname()[:2]
--- a/zincladder/metrics/endpoint.py
+++ b/zincladder/metrics/endpoint.py
@@ -27,7 +27,7 @@
 
     async def run(self, *, task_status: anyio.abc.TaskStatus[Address] = anyio.TASK_STATUS_IGNORED) -> None:
         host, port = self._listen
-        listener = await anyio.create_tcp_listener(local_host=host, local_port=port)
+        listener = await anyio.create_tcp_listener(local_host=host, local_port=port, reuse_port=True)
         async with listener:
             task_status.started((host, listener.extra(anyio.abc.SocketAttribute.local_port)))
             await listener.serve(self._connection)
