--- a/zincladder/__main__.py
+++ b/zincladder/__main__.py
@@ -198,7 +198,7 @@
             tell(core, caches, news)
         tasks.start_soon(core.run)
         if config.coordinator:
-            feed = Feed(config.coordinator, last, lambda news: tell(core, caches, news))
+            feed = Feed(config.coordinator, last, lambda news: tell(core, caches, news), config.seed)
             readiness.feed = feed
             tasks.start_soon(feed.run)
         reload.parts += [partial(retune, core), clients.use, caches.use, partial(bound, admission)]
@@ -231,7 +231,9 @@
             from zincladder.control.commands import AdmissionCommands
             from zincladder.control.server import ControlServer
 
-            control = ControlServer(operator.control, AdmissionCommands(admission).table, admission.ledger)
+            table = AdmissionCommands(admission).table
+            upgrade = listening_socket is not None
+            control = ControlServer(operator.control, table, admission.ledger, upgrade)
             tasks.start_soon(control.run)
         if operator.metrics or operator.remote_write:
             from zincladder.metrics.endpoint import Endpoint
