--- a/zincladder/__main__.py
+++ b/zincladder/__main__.py
@@ -12,6 +12,7 @@
 import logging
 import os
 import signal
+from collections import Counter
 from collections.abc import Callable, Iterator
 from dataclasses import asdict, dataclass
 from functools import partial
@@ -32,7 +33,9 @@
 from zincladder.handover.host import Handover
 from zincladder.net.caches import Caches
 from zincladder.net.clients import Clients
+from zincladder.net.door import listener
 from zincladder.net.feed import Feed, Listed, News, known_news
+from zincladder.net.sparing import Sparing
 
 if TYPE_CHECKING:
     from zincladder.export.sender import RemoteWrite
@@ -63,10 +66,10 @@
     """The configuration in force: as last read, and shared with the other processes of this front."""
 
     def __init__(self, config: configuration.Config) -> None:
-        self._config, self._processes = config, 1
+        self._config, self.processes = config, 1
         self.parts: list[Callable[[configuration.Config], None]] = []
         self.limits: Callable[[Limits], None] | None = None  # admission's, where it takes other ones
-        self.counts = {"applied": 0, "rejected": 0}
+        self.counts: Counter[tuple[str, str]] = Counter()  # the core's
 
     def __call__(self) -> None:
         """Guards a running front against a file that cannot be used: it goes on with what it has, whole."""
@@ -74,7 +77,7 @@
             config, waiting = configuration.renewed(self._config, configuration.load())
             operator = configuration.load_operator(config.names)
         except configuration.ConfigError as fault:
-            self.counts["rejected"] += 1
+            self.counts["reloads", "rejected"] += 1
             log.error("bad configuration, the old one is kept", why=str(fault))
             return
         if bool(self.limits) != bool(operator.admission):
@@ -85,16 +88,16 @@
         self._apply()
         if self.limits and operator.admission:
             self.limits(operator.admission)
-        self.counts["applied"] += 1
+        self.counts["reloads", "applied"] += 1
         log.info("configuration read again", coordinator=config.coordinator, classes=config.names.classes)
 
     def share(self, processes: int) -> None:
         """So many processes of this front run from now on."""
-        self._processes = processes
+        self.processes = processes
         self._apply()
 
     def _apply(self) -> None:
-        config = configuration.shared(self._config, self._processes)
+        config = configuration.shared(self._config, self.processes)
         for apply in self.parts:
             apply(config)
 
@@ -202,6 +205,7 @@
             readiness.feed = feed
             tasks.start_soon(feed.run)
         reload.parts += [partial(retune, core), clients.use, caches.use, partial(bound, admission)]
+        reload.counts = core.counts
         reload.limits = admission.use if isinstance(admission, Gate) else None
         if feed:
             reload.parts.append(partial(follow, feed))
@@ -213,8 +217,8 @@
             from zincladder.control.calls import Calls
             from zincladder.control.figures import figures
 
-            calls = Calls(readiness.lacks, partial(figures, core, reload.counts))
-            operators = OperatorAddress(config.control, calls, admission.ledger)
+            calls = Calls(readiness.lacks, partial(figures, core))
+            operators = OperatorAddress(listener(config.control), calls, admission.ledger, Sparing().warning)
             where_control = operators.address
             tasks.start_soon(operators.run)
         if operator.dns:
@@ -244,6 +248,7 @@
                 config.name,
                 lambda: feed is not None and feed.connected,
                 admission,
+                lambda: reload.processes,
             )
             if operator.metrics:
                 where_metrics = await tasks.start(Endpoint(operator.metrics, registry, admission).run)
--- a/zincladder/control/address.py
+++ b/zincladder/control/address.py
@@ -5,14 +5,12 @@
 import socket
 
 import anyio
-import anyio.lowlevel
 import structlog
 
 from zincladder.admission.ledger import Ledger, Use
 from zincladder.config import Address
+from zincladder.control.accepting import Warn, accepting
 from zincladder.control.calls import Calls, Line
-from zincladder.net.door import listener
-from zincladder.net.sparing import Sparing
 
 HELD = 10.0  # seconds for a line to come and for its answer to be read
 LEAST = 4  # callers at once, however few descriptors there are
@@ -22,11 +20,10 @@
 class OperatorAddress:
     """Guards operators against each other: who holds a place and says nothing makes room for who comes."""
 
-    def __init__(self, where: Address, calls: Calls, ledger: Ledger) -> None:
-        self._calls, self._ledger = calls, ledger
-        self._sock = listener(where)
+    def __init__(self, listening: socket.socket, calls: Calls, ledger: Ledger, warn: Warn) -> None:
+        self._calls, self._ledger, self._warn = calls, ledger, warn
+        self._sock = listening
         self._waiting: dict[socket.socket, anyio.CancelScope] = {}  # the first to come first
-        self._warn = Sparing()
 
     @property
     def address(self) -> Address:
@@ -37,22 +34,15 @@
         """Answers calls until it is cancelled."""
         try:
             async with anyio.create_task_group() as tasks:
-                while True:
-                    await anyio.wait_readable(self._sock)
-                    try:
-                        sock, _ = self._sock.accept()
-                    except (BlockingIOError, InterruptedError):
-                        continue
-                    except OSError as fault:
-                        self._warn.warning("operators' call not taken", why=str(fault))
-                        await anyio.sleep(0.05)
-                        continue
+
+                def take(sock: socket.socket) -> None:
                     if self._ledger.room(Use.CONTROL) <= 0 and len(self._waiting) >= LEAST:
                         next(iter(self._waiting.values())).cancel()
                     self._ledger.force(Use.CONTROL)
                     scope = self._waiting[sock] = anyio.CancelScope()
                     tasks.start_soon(self._connection, sock, scope)
-                    await anyio.lowlevel.checkpoint()
+
+                await accepting(self._sock, take, self._warn)
         finally:
             self._sock.close()
 
--- a/zincladder/control/figures.py
+++ b/zincladder/control/figures.py
@@ -2,14 +2,14 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator, Mapping
+from collections.abc import Iterator
 
 from zincladder.core.engine import Core
 
 KINDS = {"succeeded": "served", "declined": "refused", "aborted": "failed"}
 
 
-def figures(core: Core, sighups: Mapping[str, int]) -> Iterator[tuple[str, int]]:
+def figures(core: Core) -> Iterator[tuple[str, int]]:
     """Each name and its value; all classes are there from the start, whether or not they have counted yet."""
     counted = core.figures
     for klass in counted.classes:
@@ -20,5 +20,5 @@
     yield "outstanding", len(core.lives)
     yield "discovered", sum(m.kind not in beside for m in core.members.values())
     yield "ejected", core.avoided()
-    yield "sighup_applied", sighups["applied"]
-    yield "sighup_rejected", sighups["rejected"]
+    yield "sighup_applied", core.counts["reloads", "applied"]
+    yield "sighup_rejected", core.counts["reloads", "rejected"]
--- a/zincladder/control/server.py
+++ b/zincladder/control/server.py
@@ -15,6 +15,7 @@
 
 from zincladder.admission.ledger import Ledger, Use
 from zincladder.config import ConfigError
+from zincladder.control.accepting import accepting
 from zincladder.control.commands import MOST_LINE, Command, answer
 
 NEXT = ".n"  # beside the path, which may have 100 of the 108 bytes
@@ -82,20 +83,14 @@
     async def run(self) -> None:
         try:
             async with anyio.create_task_group() as tasks:
-                while True:
-                    await anyio.wait_readable(self._sock)
-                    try:
-                        sock, _ = self._sock.accept()
-                    except (BlockingIOError, InterruptedError):
-                        continue
-                    except OSError as fault:
-                        log.warning("control accept failed", why=str(fault))
-                        await anyio.sleep(0.1)
-                        continue
+
+                def take(sock: socket.socket) -> None:
                     if self._ledger.take(Use.CONTROL):
                         tasks.start_soon(self._connection, sock)
                     else:
                         sock.close()
+
+                await accepting(self._sock, take, log.warning)
         finally:
             self._sock.close()
             # Guards the socket of a front that has taken the path over.
--- a/zincladder/metrics/registry.py
+++ b/zincladder/metrics/registry.py
@@ -16,6 +16,7 @@
     "probes": ("zincladder_probes_total", "end", "Load probes by how they ended."),
     "clients": ("zincladder_client_connections_total", "event", "Client connections taken."),
     "client_ends": ("zincladder_client_ends_total", "end", "Client connections by how they ended."),
+    "reloads": ("zincladder_reloads_total", "outcome", "Files read at SIGHUP: applied or rejected."),
     "steered": ("zincladder_steered_total", "outcome", "Clients steered by DNS: named or refused."),
     "dns": ("zincladder_dns_responses_total", "rcode", "DNS responses by code."),
     "remote_write": (
@@ -59,14 +60,17 @@
     "attempts": ("zincladder_class_attempts_total", "", "Attempts by class."),
 }
 PENALTIES = "zincladder_admission_penalties_total"
+FORWARDS = "zincladder_attempts_written_total"
 GAUGES = {
     "open": ("zincladder_requests_open", "Requests that are owed their answer."),
     "members": ("zincladder_members", "Members on the list."),
     "ready": ("zincladder_members_ready", "Members on the list that are ready."),
+    "avoided": ("zincladder_caches_avoided", "Caches on the list that the front avoids after failures."),
+    "processes": ("zincladder_processes", "Processes of this front: 2 at an upgrade."),
     "feed": ("zincladder_coordinator_connected", "1 while the coordinator is followed."),
 }
 TABLES = (COUNTERS, ADMISSION, GAUGES, ADMISSION_GAUGES, CACHE, CLASS)
-NAMES = frozenset(row[0] for table in TABLES for row in table.values()) | {PENALTIES}
+NAMES = frozenset(row[0] for table in TABLES for row in table.values()) | {PENALTIES, FORWARDS}
 
 
 @dataclass(frozen=True, slots=True)
@@ -87,7 +91,9 @@
         front: str,
         connected: Callable[[], bool],
         admission: Admission,
+        processes: Callable[[], int] = lambda: 1,
     ) -> None:
+        self._processes = processes
         self._core, self._front, self._connected, self._admission = core, front, connected, admission
 
     def samples(self) -> Iterator[Sample]:
@@ -101,10 +107,13 @@
             "open": len(self._core.lives),
             "members": len(self._core.members),
             "ready": ready,
+            "avoided": self._core.avoided(),
+            "processes": self._processes(),
             "feed": self._connected(),
         }
         for key, value in values.items():
             yield Sample(GAUGES[key][0], (front,), float(value))
+        yield Sample(FORWARDS, (front,), float(self._core.figures.forwards))
         yield from self._of_admission(front)
         yield from self._of_figures(front)
 
@@ -155,6 +164,7 @@
     def text(self) -> str:
         """The text format of Prometheus."""
         kinds = {name: ("counter", text) for name, _, text in (*COUNTERS.values(), *ADMISSION.values())}
+        kinds[FORWARDS] = ("counter", "Attempts of which the last byte was written.")
         kinds[PENALTIES] = ("counter", "Penalties that sources of connections were given.")
         kinds |= {name: ("gauge", text) for name, text in GAUGES.values()}
         others = (*ADMISSION_GAUGES.values(), *CACHE.values(), *CLASS.values())
