--- a/tests/test_operating_day.py
+++ b/tests/test_operating_day.py
@@ -16,6 +16,7 @@
 
 import anyio
 import anyio.abc
+import anyio.lowlevel
 import pytest
 
 from tests.conftest import ORIGIN_MEMBER, Driver, cache, finals, get, sends, settings
@@ -38,6 +39,7 @@
 from zincladder.core.classes import LEAVING, Classes
 from zincladder.core.figures import MOST_CLASSES, Figures
 from zincladder.handover.model import MOST_COMPANIONS, Companions, Foreign, Hello, decode
+from zincladder.net.feed import Feed
 
 pytestmark = pytest.mark.anyio
 READ = api.RequestClass(aim=0.3, deadline=2.0)
@@ -523,3 +525,24 @@
     companions.left(new)
     assert companions.processes == 1 and not companions.succeeded
     assert [companions.came(True) is None for _ in range(MOST_COMPANIONS + 1)].count(True) == 1
+
+
+async def test_fronts_that_lose_the_coordinator_come_back_at_moments_of_their_own(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    tries: dict[int, list[float]] = {}
+    for seed in (1, 2):
+        slept = tries[seed] = []
+        with anyio.CancelScope() as scope:
+
+            async def sleep(seconds: float, slept: list[float] = slept, scope: Any = scope) -> None:
+                slept.append(seconds)
+                if len(slept) == 6:
+                    scope.cancel()
+                await anyio.lowlevel.checkpoint()
+
+            monkeypatch.setattr(anyio, "sleep", sleep)
+            await Feed(("127.0.0.1", free()), 1, lambda news: None, seed).run()
+    first, second = tries[1], tries[2]
+    assert len(first) == len(second) == 6 and not set(first) & set(second)
+    assert 0.2 <= first[-1] <= 0.6 and all(0.02 < s < 0.7 for s in first + second)
