--- a/zincladder/__main__.py
+++ b/zincladder/__main__.py
@@ -41,7 +41,6 @@
     from zincladder.export.sender import RemoteWrite
 if sys.modules["rich"] is None:
     del sys.modules["rich"]
-UNHEARD = 1.5  # seconds for the coordinator's first word: one that stalls keeps no front out of service
 FLUSH = 0.5  # seconds after the last answer for the last samples to be sent
 log = structlog.get_logger()
 
@@ -152,25 +151,6 @@
     operators: tuple[str, int] | None = None
 
 
-class Readiness:
-    """Whether this process is ready to serve: the one place that says so."""
-
-    def __init__(self, core: Core, clients: Clients, since: float) -> None:
-        self._core, self._clients, self._since = core, clients, since
-        self.feed: Feed | None = None
-
-    def lacks(self) -> str:
-        """What is missing; nothing when it is ready."""
-        if self._clients.stopping:
-            return "this process is ending"
-        if not any(m.state is api.State.READY for m in self._core.members.values()):
-            return "the list names no member that is ready"
-        waited = self._core.clock.now() - self._since
-        if self.feed and not self.feed.heard and waited < UNHEARD:
-            return "the coordinator has not spoken yet"
-        return ""
-
-
 async def front(
     config: configuration.Config,
     operator: configuration.Operator,
@@ -190,7 +170,6 @@
     core = Core(config.settings, config.seed, caches, clock, classes)
     last, events = known_news(config)
     clients = Clients(config, core, admission, listening_socket)
-    readiness = Readiness(core, clients, clock.now())
     feed: Feed | None = None
     where_dns = where_metrics = where_control = None
     pushes: list[RemoteWrite] = []
@@ -202,7 +181,6 @@
         tasks.start_soon(core.run)
         if config.coordinator:
             feed = Feed(config.coordinator, last, lambda news: tell(core, caches, news), config.seed)
-            readiness.feed = feed
             tasks.start_soon(feed.run)
         reload.parts += [partial(retune, core), clients.use, caches.use, partial(bound, admission)]
         reload.counts = core.counts
@@ -216,8 +194,12 @@
             from zincladder.control.address import OperatorAddress
             from zincladder.control.calls import Calls
             from zincladder.control.figures import figures
+            from zincladder.control.readiness import Readiness
 
-            calls = Calls(readiness.lacks, partial(figures, core))
+            readiness = Readiness(
+                clock.now(), core.ready, lambda: feed is None or feed.heard, lambda: clients.stopping
+            )
+            calls = Calls(lambda: readiness.lacks(clock.now()), partial(figures, core))
             operators = OperatorAddress(listener(config.control), calls, admission.ledger, Sparing().warning)
             where_control = operators.address
             tasks.start_soon(operators.run)
--- a/zincladder/config/__init__.py
+++ b/zincladder/config/__init__.py
@@ -26,6 +26,7 @@
 OWN_MB = 22  # what the daemon itself takes under load (17 at its start); the rest holds requests
 SPARE_MB = 6  # kept free, however many processes
 BODY = 240_000  # bytes of an object's part at most
+DAY = 86_400.0  # seconds
 LEAST_MB = 4  # for requests, however little there is
 OPEN_KB = 100  # an open request, most of which wait and hold no body yet
 
@@ -85,13 +86,19 @@
 
 
 def _number(value: Any) -> float:
-    if isinstance(value, bool) or not isinstance(value, int | float) or not math.isfinite(value):
+    if isinstance(value, bool) or not isinstance(value, int | float):
         raise ValueError
-    return float(value)
+    try:
+        found = float(value)
+    except OverflowError:  # a whole number of hundreds of digits
+        raise ValueError from None
+    if not math.isfinite(found):
+        raise ValueError
+    return found
 
 
-def _above_0(value: Any) -> float:
-    if _number(value) <= 0:
+def _seconds(value: Any) -> float:
+    if not 0 < _number(value) <= DAY:
         raise ValueError
     return float(value)
 
@@ -160,7 +167,7 @@
         found.append(
             api.RequestClass(
                 aim=c.num("onTime"),
-                deadline=c.get("deadline", _above_0, "a number above 0", None),
+                deadline=c.get("deadline", _seconds, "a number above 0, a day at most", None),
                 effect=c.choice("effect", _EFFECTS),
                 aim_stretch=c.num("aimStretch", 0.0),
                 worth=c.num("value", 1.0),
@@ -236,7 +243,7 @@
 def _parsed(text: bytes, name: str) -> Any:
     try:
         return json.loads(text)
-    except ValueError as fault:
+    except (ValueError, RecursionError) as fault:
         raise ConfigError(f"{name} is not JSON: {fault}") from None
 
 
--- a/zincladder/control/address.py
+++ b/zincladder/control/address.py
@@ -37,7 +37,7 @@
 
                 def take(sock: socket.socket) -> None:
                     if self._ledger.room(Use.CONTROL) <= 0 and len(self._waiting) >= LEAST:
-                        next(iter(self._waiting.values())).cancel()
+                        self._waiting.pop(next(iter(self._waiting))).cancel()
                     self._ledger.force(Use.CONTROL)
                     scope = self._waiting[sock] = anyio.CancelScope()
                     tasks.start_soon(self._connection, sock, scope)
@@ -64,7 +64,7 @@
                     except ValueError as fault:
                         sock.send(f"FAILURE {fault}\n".encode())
                         return
-                del self._waiting[sock]  # it has said what it wants: it is not the one to leave
+                self._waiting.pop(sock, None)  # it has said what it wants: it is not the one to leave
                 said = self._calls.answer(call)
                 while said:
                     try:
--- a/zincladder/core/engine.py
+++ b/zincladder/core/engine.py
@@ -301,6 +301,10 @@
         self.purged[what] = max(made, self.purged.get(what, 0.0))
         self._notify(api.Purged(obj, group, max(0.0, now - made)))
 
+    def ready(self) -> int:
+        """Members on the list that may be asked."""
+        return sum(m.state is api.State.READY for m in self.members.values())
+
     def _ready(self, *members: api.MemberId | None) -> bool:
         return all(
             m is None or (m in self.members and self.members[m].state is api.State.READY) for m in members
--- a/zincladder/core/figures.py
+++ b/zincladder/core/figures.py
@@ -53,9 +53,8 @@
         kept = {*names, *held}
         for name in [n for n in self.classes if n not in kept][: max(0, len(self.classes) - MOST_CLASSES)]:
             del self.classes[name]
-            self.attempts.pop(name, None)
-            for key in [key for key in self.answers if key[0] == name]:
-                del self.answers[key]
+        self.attempts = Counter({k: n for k, n in self.attempts.items() if k in self.classes})
+        self.answers = Counter({k: n for k, n in self.answers.items() if k[0] in self.classes})
 
     def answered(self, klass: str, kind: str) -> None:
         """A request has got its answer: 'served', 'refused' or 'failed'."""
--- a/zincladder/handover/host.py
+++ b/zincladder/handover/host.py
@@ -89,8 +89,9 @@
     async def run(self, listening: socket.socket) -> None:
         """Hands the socket to whoever comes next, and follows who is alive, until it is cancelled."""
         async with anyio.create_task_group() as tasks:
-            if self._old is not None:
-                tasks.start_soon(self._follow, self._old, False)
+            number = self.companions.came(newer=False) if self._old else None
+            if self._old and number:
+                tasks.start_soon(self._follow, self._old, number)
             while True:
                 try:
                     server = self._publish()
@@ -141,8 +142,12 @@
         while True:
             with anyio.move_on_after(PATIENCE):
                 await anyio.wait_readable(server)
-            if not self._published() and self.companions.processes == 1:
-                return
+            # Only after a newcomer that was met: one of another version keeps the place that it took, or the
+            # two would take it from each other for ever.
+            if self.companions.bereft and self.companions.processes == 1:
+                self.companions.bereft = False
+                if not self._published():
+                    return
             with contextlib.suppress(OSError):
                 sock, _ = server.accept()
                 tasks.start_soon(self._hand_on, sock, listening)
@@ -162,20 +167,23 @@
                         break
                     data += got
             new = decode(data, self._where)
-            socket.send_fds(sock, [Hello(self._where, os.getpid()).encode()], [listening.fileno()])
+            number = self.companions.came(newer=True)
+            if number is None:
+                raise Foreign("too many processes of this front")
         except REFUSED as fault:
             log.warning("listening socket not handed on", why=str(fault) or type(fault).__name__)
             sock.close()
             return
-        log.info("listening socket handed on", process=new.pid)
-        await self._follow(sock, True)
+        try:
+            socket.send_fds(sock, [Hello(self._where, os.getpid()).encode()], [listening.fileno()])
+            log.info("listening socket handed on", process=new.pid)
+        except OSError as fault:  # it has left again
+            log.warning("listening socket not handed on", why=str(fault))
+        await self._follow(sock, number)
 
-    async def _follow(self, sock: socket.socket, newer: bool) -> None:
+    async def _follow(self, sock: socket.socket, number: int) -> None:
         """Waits until the process at the other end is gone."""
-        number = self.companions.came(newer)
         try:
-            if number is None:
-                return
             self._changed(self.companions.processes)
             while True:
                 await anyio.wait_readable(sock)
@@ -188,7 +196,6 @@
                     break
         finally:
             sock.close()
-            if number is not None:
-                self.companions.left(number)
-                self._changed(self.companions.processes)
+            self.companions.left(number)
+            self._changed(self.companions.processes)
         log.info("the other process has gone", processes=self.companions.processes)
--- a/zincladder/handover/model.py
+++ b/zincladder/handover/model.py
@@ -54,6 +54,7 @@
     def __init__(self) -> None:
         self._alive: dict[int, bool] = {}  # by number; whether it came after this process
         self._count = 0
+        self.bereft = False  # a newer process, which had the meeting place, is gone again
 
     def came(self, newer: bool) -> int | None:
         """One more; its number, or None where there are too many already."""
@@ -64,7 +65,7 @@
         return self._count
 
     def left(self, number: int) -> None:
-        self._alive.pop(number, None)
+        self.bereft |= self._alive.pop(number, False)
 
     @property
     def processes(self) -> int:
--- a/zincladder/metrics/registry.py
+++ b/zincladder/metrics/registry.py
@@ -102,11 +102,10 @@
             if group in COUNTERS:
                 name, label, _ = COUNTERS[group]
                 yield Sample(name, (front, (label, key)), float(value))
-        ready = sum(m.state == 1 for m in self._core.members.values())
         values = {
             "open": len(self._core.lives),
             "members": len(self._core.members),
-            "ready": ready,
+            "ready": self._core.ready(),
             "avoided": self._core.avoided(),
             "processes": self._processes(),
             "feed": self._connected(),
--- a/zincladder/net/clients.py
+++ b/zincladder/net/clients.py
@@ -165,7 +165,8 @@
 
         Guards a request that is on its way: it is looked for at the last moment, and the end is told at once.
         """
-        if client.open or client.outbox.size or client.inbox.buffered() or client.ended:
+        coming = client.frame_at or client.inbox.buffered()  # a part of a message is here
+        if client.open or client.outbox.size or coming or client.ended:
             return
         try:
             if client.sock.recv(1, socket.MSG_PEEK):
