Pass the idempotency key of keyed requests on to the caches, and refuse what lacks one

A key that cannot be used is turned down like every other field: without it no repeat would be dropped, and a comma in it would add fields.

--- a/tests/stands.py
+++ b/tests/stands.py
@@ -242,7 +242,8 @@
             await tasks.start(cache.run)
         await tasks.start(coordinator.run)
         config = config_of(configuration([c.member() for c in caches], coordinator.port, **more))
-        table = {"dns": DNS | {"host": DNS_HOSTS + (hosts or [])}} | (operator or {})
+        known = [h for h in DNS_HOSTS if h["class"] in config.names.classes]  # another site names others
+        table = ({"dns": DNS | {"host": known + (hosts or [])}} if known else {}) | (operator or {})
         listening = await tasks.start(front, config, operator_of(table, config.names), anyio.Event())
         yield World(caches, coordinator, listening, tasks)
         tasks.cancel_scope.cancel()
--- a/zincladder/core/engine.py
+++ b/zincladder/core/engine.py
@@ -45,6 +45,7 @@
     repeat: bool = False
     write: bool = False
     tag: str = ""  # of a copy that the client holds
+    key: str = ""  # idempotency key: the same for all tries of one keyed request
     body: bytes = b""
     size_kb: float = 0.0
 
--- a/zincladder/net/caches.py
+++ b/zincladder/net/caches.py
@@ -312,6 +312,8 @@
         if ask.part is not None:
             fields.append(f"chunk={ask.part}")
         fields.append(f"limit={max(1, math.floor(left * 1000))}")
+        if ask.key:
+            fields.append(f"nonce={ask.key}")
         if order.source is not None:
             fields.append(f"up={order.source.decode()}")
         if order.keep:
--- a/zincladder/net/clients.py
+++ b/zincladder/net/clients.py
@@ -16,6 +16,7 @@
 import structlog
 from anyio.abc import TaskGroup
 
+from zincladder import interface as api
 from zincladder.admission.gate import Admission
 from zincladder.admission.model import Act, Decision, Seat, Why
 from zincladder.config import Config
@@ -43,7 +44,7 @@
 SOON = 0.05  # seconds after which another process takes what this one refuses
 RETIRING = 0.005  # seconds between two looks at who may be closed then
 ID = re.compile(r"[0-9a-f]{16}", re.ASCII)
-TAG = re.compile(r"[0-9A-Za-z_-]{1,64}", re.ASCII)
+TAG = re.compile(r"[0-9A-Za-z_-]{1,64}", re.ASCII)  # of a copy, and an idempotency key
 MOST_WRITE = 48_000  # bytes of a request's body
 MOST_PART = 1 << 20
 log = structlog.get_logger()
@@ -388,6 +389,10 @@
         if len(body) > MOST_WRITE:
             raise BadFields(f"a body of {len(body)} bytes, {MOST_WRITE} at most")
         settings = self._core.settings.classes[klass]
+        key = fields.get("nonce", "")
+        # Guards rule 2: without its key no repeat of a keyed request would be dropped.
+        if ("nonce" in fields or settings.effect is api.Effect.KEYED) and not TAG.fullmatch(key):
+            raise BadFields(f"'nonce' must be an idempotency key, not {key[:20]!r}")
         # Guards the time that a request may hold memory: nobody waits past the class's own deadline.
         patience = number("patience", 1, math.ceil(2000 * settings.deadline)) / 1000
         ask = Ask(
@@ -400,6 +405,7 @@
             repeat="redo" in fields,
             write=settings.never_kept,
             tag=tag,
+            key=key,
             body=body,
         )
         if trace in self._traces:
