Tell the module how long a cache waited for its source, as the answer's 'fill' states it

core/engine.py gave a wait of 0.0 with every end, so decide.py's _judge took the whole wait for the source's own pace. It weighs only where the request's size is told as well, which it is not yet: with both, a healthy parent looks slow and requests are refused.

--- a/tests/test_deployments.py
+++ b/tests/test_deployments.py
@@ -9,6 +9,8 @@
 import pytest
 
 from tests.stands import SETTINGS, Fetch, StubCache, client, serve, world
+from zincladder import interface as api
+from zincladder.decide import Router
 
 pytestmark = pytest.mark.anyio
 KEY_32 = "5c0f6e1a2b3d4c59a8b7c6d5e4f30211"
@@ -71,3 +73,47 @@
         assert (await c.reply()).kind == "application"
         await c.ask(b"order", route="topup", nonce=KEY_32)
         assert (await c.reply()).kind == "served" and len(w.caches[-1].fetches) == 1
+
+
+@pytest.fixture
+def told(monkeypatch: pytest.MonkeyPatch) -> list[api.Event]:
+    """The events that the front gives its module."""
+    events: list[api.Event] = []
+
+    class Recording(Router):
+        def handle(self, event: api.Event, now: float) -> list[api.Action]:
+            events.append(event)
+            return super().handle(event, now)
+
+    monkeypatch.setattr("zincladder.core.engine.Router", Recording)
+    return events
+
+
+def ends(told: list[api.Event]) -> list[api.AttemptEnded]:
+    return [e for e in told if isinstance(e, api.AttemptEnded)]
+
+
+@both
+async def test_the_time_that_a_cache_waited_for_its_source_reaches_the_module(
+    site: Site, told: list[api.Event]
+) -> None:
+    # guards healthy parents: taken for the source's own pace, the wait made each look slow
+    async def fills(_: StubCache, fetch: Fetch) -> None:
+        await fetch.answer(200, "tell=pulled,rev=aa,since=1,fill=250.5", b"x")
+
+    async with world(fills, settings=site.settings) as w, client(w) as c:
+        await c.ask(route=site.read)
+        assert (await c.reply()).kind == "served"
+    assert [(e.note, e.fill_wait) for e in ends(told)] == [(api.Note.FILLED, 0.2505)]
+
+
+@pytest.mark.parametrize("wait", ["-1", "nan", "inf", "soon", ""])
+async def test_a_wait_that_is_none_ends_its_connection(wait: str, told: list[api.Event]) -> None:
+    async def spoilt(_: StubCache, fetch: Fetch) -> None:
+        await fetch.answer(200, f"tell=pulled,rev=aa,since=1,fill={wait}", b"x")
+
+    async with world(spoilt, origin=spoilt, settings=second.settings) as w, client(w) as c:
+        w.caches[1].script = spoilt
+        await c.ask(route="asset", patience="500")
+        assert (await c.reply()).kind != "served"
+    assert {e.result for e in ends(told)} == {api.Result.RESET}
--- a/zincladder/core/ends.py
+++ b/zincladder/core/ends.py
@@ -59,6 +59,7 @@
     how: How
     body: bytes | bytearray = b""
     note: api.Note = api.Note.NONE
+    fill_wait: float = 0.0  # seconds that the member waited for its source
     report: tuple[float, ...] = ()
     fields: Mapping[str, str] = field(default_factory=dict)
     why: str = ""
--- a/zincladder/core/engine.py
+++ b/zincladder/core/engine.py
@@ -265,7 +265,7 @@
         self.figures.ended(order.member, end.how)
         latency = self.clock.now() - sent_at
         return api.AttemptEnded(
-            number, n, order.member, end.result, latency, closed, end.note, 0.0, end.report
+            number, n, order.member, end.result, latency, closed, end.note, end.fill_wait, end.report
         )
 
     # News ---------------------------------------------------------------------------------------
--- a/zincladder/net/caches.py
+++ b/zincladder/net/caches.py
@@ -177,10 +177,15 @@
         fits = (word in (b"alive", b"dead")) == waiting.probe and (how is not How.SAME or waiting.tagged)
         if not fits or (body and how is not How.SERVED):
             raise Ended(How.GARBLED, f"{word.decode()} with {len(body)} bytes is no answer to what was asked")
-        if not fields.get("since", "0").isdigit() or fields.get("tell", "local") not in NOTES:
+        try:
+            waited = float(fields.get("fill", "0")) / 1000
+        except ValueError:
+            waited = math.nan
+        known = fields.get("since", "0").isdigit() and fields.get("tell", "local") in NOTES
+        if not known or not 0 <= waited < math.inf:
             raise Ended(How.GARBLED, f"fields that cannot be read: {raw[:60]!r}")
         note = NOTES.get(fields.get("tell", ""), api.Note.NONE)
-        return End(how, body, note, self._report(fields.get("meter", "")), fields)
+        return End(how, body, note, waited, self._report(fields.get("meter", "")), fields)
 
     def _report(self, text: str) -> tuple[float, ...]:
         """The load report in the order of the settings; nothing when a figure is missing."""
