Give the module the size of a part where the client tells it

The second site tells sizes ('size', in KB); net/clients.py never read the field, so the module went by mean sending times there and judged no request by its own. Read as a finite number above 0, bounded; a size that is none fails its request.

--- a/tests/test_deployments.py
+++ b/tests/test_deployments.py
@@ -117,3 +117,26 @@
         await c.ask(route="asset", patience="500")
         assert (await c.reply()).kind != "served"
     assert {e.result for e in ends(told)} == {api.Result.RESET}
+
+
+@both
+async def test_the_size_of_a_part_reaches_the_module_where_it_is_told(
+    site: Site, told: list[api.Event]
+) -> None:
+    async with world(serve, settings=site.settings) as w, client(w) as c:
+        await c.ask(route=site.read, **site.fields)
+        assert (await c.reply()).kind == "served"
+        assert "size" not in w.caches[0].fetches[0].fields  # the caches know it
+    sizes = [e.size_kb for e in told if isinstance(e, api.Request)]
+    assert sizes == [float(site.fields.get("size", 0))]
+
+
+@pytest.mark.parametrize("size", ["0", "-3", "nan", "inf", "1e12", "large", ""])
+async def test_a_size_that_is_none_fails_its_request_only(size: str, told: list[api.Event]) -> None:
+    # guards the mean sending times, on which the guards of links and cold members rest
+    async with world(serve, settings=second.settings) as w, client(w) as c:
+        await c.ask(route="asset", size=size)
+        assert (await c.reply()).kind == "application"
+        await c.ask(route="asset", size="12.5")
+        assert (await c.reply()).kind == "served"
+    assert [e.size_kb for e in told if isinstance(e, api.Request)] == [12.5]
--- a/zincladder/net/clients.py
+++ b/zincladder/net/clients.py
@@ -47,6 +47,7 @@
 TAG = re.compile(r"[0-9A-Za-z_-]{1,64}", re.ASCII)  # of a copy, and an idempotency key
 MOST_WRITE = 48_000  # bytes of a request's body
 MOST_PART = 1 << 20
+MOST_KB = 1e7  # of a part, as clients state it: one without bound outweighs all sizes learned before
 log = structlog.get_logger()
 
 
@@ -372,6 +373,16 @@
                 raise BadFields(f"'{name}' must be a number from {least} to {most}, not {text[:20]!r}")
             return int(text)
 
+        def size(name: str) -> float:
+            try:
+                kb = float(fields[name])
+            except ValueError:
+                kb = math.nan
+            if not 0 < kb <= MOST_KB:
+                said = fields[name][:20]
+                raise BadFields(f"'{name}' must be a number above 0, {MOST_KB:g} at most, not {said!r}")
+            return kb
+
         def name(key: str) -> str:
             if not ID.fullmatch(fields.get(key, "")):
                 raise BadFields(f"'{key}' must be 16 hex digits, not {fields.get(key, '')[:20]!r}")
@@ -408,6 +419,8 @@
             key=key,
             body=body,
         )
+        if "size" in fields:
+            ask.size_kb = size("size")
         if trace in self._traces:
             # Guards every request against another's answer: an id names one request at the caches too.
             raise BadFields(f"'trace' is the id of a request that is open: {trace}")
