Ask a parent that fails at once again where neither another nor the origin is left

One of the two parents breaks half of its fills off within 0.05 s (375 errors, note 'cut_off') and is set aside; the other is replaced from 8.9 s on and cold until 26 s; the origin's budget is a tenth of the requests. So decide.py refused what the ill parent would have filled at the second try. Ruled out: the processes that change over (17 refusals each), the fronts' CPU (0.25 of a core), the location's link (under 1).

A source whose last failure came within half a class's aim is ill, not silent: _pick keeps it for the case that nothing else is left, _place tries it up to the limit of tries, and an error that is told to be the source's no longer counts as the request's own. A silent one stays out: waiting for it would cost each request its time.

--- a/tests/test_defences.py
+++ b/tests/test_defences.py
@@ -419,3 +419,27 @@
         d.give(api.AttemptEnded(n, 0, sent.member, R.OK, 0.45, True, N.HIT))
     assert finals(d.ask(100, kb=1000.0)) == [api.Refuse(100, 0.5)]
     assert get(d.ask(101, kb=10.0)).member == b"paren0"
+
+
+@pytest.mark.parametrize(("wait", "refused"), [(0.02, False), (1.5, True)])
+def test_the_last_parent_is_asked_again_where_it_fails_at_once(wait: float, refused: bool) -> None:
+    # with the other parent replaced, one that broke half of its fills off was set aside: nothing was filled
+    d = Driver((cache(0), parent(0), FLEET[-1]))
+    given_up = 0
+    for n in range(1, 200):
+        acts, attempt, failed = d.ask(n, key=n), 0, False
+        while sent := sends(acts):
+            source = sent[0].source if isinstance(sent[0], api.Get) else b""
+            end = (R.OK, N.FILLED, 0.02)
+            if source == sent[0].member:
+                end = (R.MISS, N.NONE, 0.0)
+            elif source == b"paren0" and not failed:  # every first fill of a request
+                end, failed = (R.ERROR, N.SOURCE_FAILED, wait), True
+            result, note, waited = end
+            over = result is R.OK
+            acts = d.give(
+                api.AttemptEnded(n, attempt, sent[0].member, result, 0.1 + waited, over, note, waited)
+            )
+            attempt += 1
+        given_up += bool(finals(acts))
+    assert given_up > 100 if refused else given_up == 0
--- a/zincladder/decide.py
+++ b/zincladder/decide.py
@@ -66,7 +66,7 @@
     def walk(self, place: int) -> Iterator[api.MemberId]:
         """The members from the object's own on, going down the range, each once."""
         start = bisect_right(self.places, place) - 1
-        met: set[api.MemberId] = set()
+        met: api.MemberIds = set()
         for step in range(len(self.owners)):
             owner = self.owners[start - step]
             if owner not in met:
@@ -84,6 +84,7 @@
     out: int = 0  # attempts of this router that it holds
     slow: float = 0.0  # how much longer than the sending time fills from it take, lately
     off: bool = False
+    prompt: bool = False  # its last failure came at once: it is ill, not silent
     trial_at: float = 0.0
     debt: float | None = None  # while it is cold: work sent to it that this router's part has not made up for
     debt_at: float = 0.0
@@ -93,13 +94,11 @@
 class Attempt:
     """One attempt that is out."""
 
+    job: Job
     cache: api.MemberId
     source: api.MemberId
-    work: float
     sent_at: float
     checked_at: float
-    klass: int
-    told: bool  # the request's size was
 
 
 @dataclass(slots=True)
@@ -114,11 +113,11 @@
     most: int  # attempts that it may have
     sends: int = 0
     out: set[int] = field(default_factory=set)  # numbers of its attempts
-    tried: set[api.MemberId] = field(default_factory=set)
+    tried: api.MemberIds = field(default_factory=set)
     joins: bool = False  # a fill of what is wanted is under way at the cache
     stale: bool = False  # the origin failed: a copy past its fresh time will do, where the class allows it
     may_have_run: list[float] = field(default_factory=list)  # when those attempts were sent
-    spoilt: set[api.MemberId] = field(default_factory=set)  # whose answer was cut off once
+    spoilt: api.MemberIds = field(default_factory=set)  # whose answer was cut off once
     errors: int = 0
 
 
@@ -210,7 +209,7 @@
         if parents != self.parents.ids:
             self.parents = self._ring(parents)
 
-    def _ring(self, ids: set[api.MemberId]) -> Ring:
+    def _ring(self, ids: api.MemberIds) -> Ring:
         """Points follow a member's own listed weight and nothing else, so others' arcs stay put."""
         if not self.settings.weights_listed:
             return Ring(dict.fromkeys(sorted(ids), POINTS_EVEN))
@@ -251,22 +250,25 @@
     def _pick(self, ring: Ring, job: Job, work: float, now: float) -> Seen | None:
         """The first member on the object's walk that may be asked; a trial is taken where one is due.
 
-        Guards a cache's link against a hot object or too many objects: past SPILL the walk goes on.
+        Guards a cache's link against a hot object or too many objects: past SPILL the walk goes on. Where
+        neither one nor the origin is left, one that fails at once is asked again: some of its fills come.
         """
-        spare, least = None, 0.0
+        spare, last, least = None, None, 0.0
         bound = max(SPILL, UNEVEN * self._mean_crowd())
         for i in ring.walk(job.home if ring is self.caches else job.origin):
             seen = self.seen[i]
             crowd, away = self._crowd(seen), seen.off and now < seen.trial_at
-            lost = seen.member.state is not api.State.READY or away or i in job.tried
-            if lost or self._late(job, crowd) or not self._room(seen, work, now):
+            lost = seen.member.state is not api.State.READY or self._late(job, crowd)
+            if lost or not self._room(seen, work, now):
                 continue
-            if crowd < bound:
+            if away or i in job.tried:
+                last = last or (seen if seen.prompt and (self.spare < 1 or not self.origin) else None)
+            elif crowd < bound:
                 seen.trial_at = now + TRIAL
                 return seen
-            if spare is None or crowd < least:
+            elif spare is None or crowd < least:
                 spare, least = seen, crowd
-        return spare
+        return spare or last
 
     def _neighbour(self, cache: Seen, home: int, now: float) -> Seen | None:
         """The cache of the location that is likely to hold the object where the chosen one is not.
@@ -381,9 +383,7 @@
     def _send(self, job: Job, target: Seen, source: Seen, now: float) -> None:
         s, request, member = self.settings, job.request, target.member
         job.out.add(job.sends)
-        self.attempts[request.id, job.sends] = Attempt(
-            member.id, source.member.id, job.work, now, now, request.klass, request.size_kb > 0
-        )
+        self.attempts[request.id, job.sends] = Attempt(job, member.id, source.member.id, now, now)
         self._count(target, 1)
         past = source.member.id == self.origin and member.kind != s.parent_kind
         self.spare -= past and not job.klass.never_kept
@@ -443,7 +443,7 @@
             job.spoilt |= blamed if cut else set()
             if not looked and not cut and not job.klass.never_kept:
                 job.tried |= blamed
-            job.errors += event.result is api.Result.ERROR
+            job.errors += event.result is api.Result.ERROR and event.note not in BLAMES_SOURCE
             if job.errors >= ERRORS:
                 return self._give_up(job)
             # Guards the origin: another parent would ask the same origin, so only a stale copy is tried.
@@ -468,7 +468,7 @@
             share = max(CORES_STEPS[cores < self.cores], 1 / self.reports)
             self.cores = max(1.0, self.cores + share * (cores - self.cores))
 
-    def _blamed(self, event: api.AttemptEnded, attempt: Attempt) -> set[api.MemberId]:
+    def _blamed(self, event: api.AttemptEnded, attempt: Attempt) -> api.MemberIds:
         """Whose a failure was: the cache's, or its source's where the answer says so.
 
         Guards against a source that refuses, unsaid: all its caches would be asked in vain, and taken off.
@@ -484,10 +484,9 @@
             return {attempt.source}
         return {attempt.cache, attempt.source}
 
-    def _judge(
-        self, event: api.AttemptEnded, attempt: Attempt, blamed: set[api.MemberId], now: float
-    ) -> None:
+    def _judge(self, event: api.AttemptEnded, attempt: Attempt, blamed: api.MemberIds, now: float) -> None:
         """Files an outcome under the member it tells of: the fill's source, or the cache asked."""
+        job, told = attempt.job, attempt.job.request.size_kb > 0
         cache, source = self.seen.get(attempt.cache), self.seen.get(attempt.source)
         self._report(attempt.cache, event.report)
         beside = attempt.source in self.caches.ids and attempt.source != attempt.cache
@@ -501,14 +500,15 @@
             cache.heard_at = now
         if event.note in BLAMES_SOURCE:
             self._mark(cache, False, now)
-            return self._mark(source if event.note in SOURCE_FAULTS else None, True, now)
-        if event.result is api.Result.OK and event.note is api.Note.HIT:
-            self._time(attempt, event.latency)
+            prompt = event.note is api.Note.SOURCE_FAILED and event.fill_wait < job.klass.aim / 2
+            return self._mark(source if event.note in SOURCE_FAULTS else None, True, now, prompt)
+        if event.result is api.Result.OK and event.note is api.Note.HIT and not told:
+            self._time(job.request.klass, event.latency)
         direct = event.result is api.Result.OK and attempt.cache in self.parents.ids
         server = cache if direct else source
         if server and (direct or event.note in (api.Note.FILLED, api.Note.FILLED_VIA_ORIGIN)):
-            pace = (event.latency - event.fill_wait) / max(attempt.work, YOUNGEST)
-            share = MEMORY if attempt.told else RECENT  # untold: sizes are noise
+            pace = (event.latency - event.fill_wait) / max(job.work, YOUNGEST)
+            share = MEMORY if told else RECENT  # untold: sizes are noise
             server.slow += share * (pace - server.slow)
             self._mark(server, False, now)
         if event.result is api.Result.TIMED_OUT and cache and cache.heard_at > attempt.sent_at:
@@ -517,21 +517,21 @@
         for i in sorted(blamed if failed else {attempt.cache}) if event.result not in OWN_FAULT else ():
             self._mark(self.seen.get(i), failed, now)
 
-    def _time(self, attempt: Attempt, latency: float) -> None:
+    def _time(self, klass: int, latency: float) -> None:
         """Guards the guards: with sizes untold, all sending times were 0 and no link or cold member spared.
 
         A hit takes its sending time and little else, as long as its cache is not crowded.
         """
-        if not attempt.told:
-            self.timed[attempt.klass] += 1
-            share = max(RECENT, 1 / self.timed[attempt.klass])
-            self.mean_work[attempt.klass] += (latency - self.mean_work[attempt.klass]) * share
+        self.timed[klass] += 1
+        share = max(RECENT, 1 / self.timed[klass])
+        self.mean_work[klass] += (latency - self.mean_work[klass]) * share
 
-    def _mark(self, seen: Seen | None, failed: bool, now: float) -> None:
+    def _mark(self, seen: Seen | None, failed: bool, now: float, prompt: bool = False) -> None:
         """Guards against members that do not answer, whatever the cause: silence, errors or refusals."""
         if seen is None:
             return
         seen.failing += MEMORY * (failed - seen.failing)
+        seen.prompt = prompt
         if seen.off and not failed:
             seen.off, seen.failing = False, 0.0
         elif seen.off or seen.failing > OFF_AT:
--- a/zincladder/interface.py
+++ b/zincladder/interface.py
@@ -10,6 +10,7 @@
 from enum import Enum, IntEnum
 
 MemberId = bytes
+MemberIds = set[MemberId]
 
 
 class Effect(Enum):
