Test a keyed write: lost answers, the core's window, a killed front and another one

Nothing had shown that a key does what it is for. A stand-in for the core platform drops repeats by their key for a while and counts what runs: a lost answer is asked for again within the window and refused after it, and a client's repeat at another front, with the first one killed or not, runs nothing twice.

--- a/tests/test_deployments.py
+++ b/tests/test_deployments.py
@@ -5,15 +5,20 @@
 import ast
 import copy
 import dataclasses
+import time
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
 
+import anyio
+import anyio.abc
 import pytest
 
 from benchmarks.difference import difference
-from tests.stands import SETTINGS, Fetch, StubCache, client, serve, world
+from tests.stands import SETTINGS, Client, Fetch, StubCache, client, configuration, serve, world
 from zincladder import interface as api
+from zincladder.__main__ import Listening, front
+from zincladder.config import Config, Operator, config_of
 from zincladder.core.engine import Ask, Order
 from zincladder.decide import Router
 from zincladder.net import protocol
@@ -325,3 +330,65 @@
         monkeypatch.setattr(protocol, "REQUEST", tuple(r for r in protocol.REQUEST if r.ask != dropped))
     found = difference(second.settings, seed=1, steps=400)
     assert isinstance(found, str) and dropped in found
+
+
+# A keyed write --------------------------------------------------------------------------------------
+
+
+class Ledger:
+    """The core platform: runs a write, drops its repeats by their key for a while, loses first answers."""
+
+    def __init__(self, window: float = 6.0, lost: int = 1) -> None:
+        self.window, self.lost = window, lost
+        self.ran: dict[str, float] = {}
+        self.runs: list[str] = []
+        self.came: list[str] = []
+
+    async def serve(self, _: StubCache, fetch: Fetch) -> None:
+        key, now = fetch.fields["nonce"], time.monotonic()
+        self.came.append(key)
+        if now - self.ran.get(key, -self.window) >= self.window:
+            self.ran[key] = now
+            self.runs.append(key)
+        if len(self.came) <= self.lost:
+            await anyio.sleep(0.1)
+            return await fetch.stream.aclose()
+        await fetch.answer(200, "tell=pulled_far,rev=aa,since=1", b"done")
+
+
+@pytest.mark.parametrize(
+    ("window", "kind", "came"), [(6.0, "served", 2), (0.05, "Throttled", 1)], ids=["within", "after"]
+)
+async def test_a_keyed_write_is_repeated_only_while_its_repeats_are_dropped(
+    window: float, kind: str, came: int
+) -> None:
+    core = Ledger(window)
+    settings = copy.deepcopy(second.settings)
+    settings["categories"][2]["window"] = window
+    async with world(serve, origin=core.serve, settings=settings) as w, client(w) as c:
+        await c.ask(b"order", route="topup", nonce=KEY_32)
+        assert (await c.reply()).kind == kind
+    assert (len(core.came), core.runs) == (came, [KEY_32])
+
+
+@pytest.mark.parametrize("killed", [True, False])
+async def test_a_clients_repeat_at_another_front_runs_nothing_twice(killed: bool) -> None:
+    # a front that is killed, or cut off from its client, has sent the write; it comes again with its key
+    core, life = Ledger(lost=0), anyio.CancelScope()
+
+    async def other(config: Config, *, task_status: anyio.abc.TaskStatus[Listening]) -> None:
+        with life:
+            await front(config, Operator(), anyio.Event(), task_status=task_status)
+
+    async with world(serve, origin=core.serve, settings=second.settings) as w, client(w) as c:
+        data = configuration([m.member() for m in w.caches], settings=second.settings)
+        listening = await w.tasks.start(other, config_of(data | {"name": "n1"}))
+        async with await anyio.connect_tcp(*listening.clients) as stream:
+            await Client(stream).ask(b"order", route="topup", nonce=KEY_32, trace="b" * 16)
+            while not core.came:
+                await w.caches[-1].came.wait()
+            if killed:
+                life.cancel()
+        await c.ask(b"order", route="topup", nonce=KEY_32, redo="1")
+        assert (await c.reply()).kind == "served"
+    assert core.came == [KEY_32] * 2 and core.runs == [KEY_32]
