Judge a source by its fills less what the cache on the way crawls beside its neighbours

Taken apart by cache, 12 to 14 s: fills through two caches ran at 1.0 times their sending time (medians, both parents), those through the third at 10 to 30 times; that cache reported a load of 1.0 and 48 requests held, the others 0.6 and 15. decide.py's _judge laid the pace of every fill on its source. Ruled out: the location's link (0.1 to 0.6), the wait for the source (0.01 to 0.17 s as before), the origin.

Hits tell a cache's own pace, so it is kept like a source's; past three times the median of its neighbours, what it crawls is taken off its fills. Where all crawl alike the source is judged as before.

--- a/tests/test_defences.py
+++ b/tests/test_defences.py
@@ -443,3 +443,23 @@
             attempt += 1
         given_up += bool(finals(acts))
     assert given_up > 100 if refused else given_up == 0
+
+
+def test_a_cache_that_crawls_does_not_make_its_sources_look_slow() -> None:
+    # one cache in three took 10 to 30 times a sending time: both parents were held for slow, and all refused
+    d = Driver((cache(0), cache(1), cache(2), parent(0), FLEET[-1]))
+
+    def end(n: int, sent: api.Get, note: api.Note) -> None:
+        took = 0.1 * (20.0 if sent.member == b"cache0" else 1.0)  # 100 KB at 1,000 KB a second
+        d.give(api.AttemptEnded(n, 0, sent.member, R.OK, took, True, note, 0.0))
+
+    for n in range(1, 60):  # hits at all caches, then fills
+        end(n, get(d.ask(n, key=n, kb=100.0)), HIT if n < 30 else N.FILLED)
+    assert d.router.seen[b"cache0"].slow > 10 > d.router.seen[b"paren0"].slow
+    assert d.router.seen[b"paren0"].slow < 1.5
+    for n in range(
+        60, 90
+    ):  # where all caches crawl alike it is the link behind the parent: its fills are slow
+        sent = get(d.ask(n, key=n, kb=100.0))
+        d.give(api.AttemptEnded(n, 0, sent.member, R.OK, 2.0, True, N.FILLED if n % 2 else HIT, 0.0))
+    assert d.router.seen[b"paren0"].slow > 5
--- a/zincladder/decide.py
+++ b/zincladder/decide.py
@@ -11,6 +11,7 @@
 from dataclasses import dataclass, field
 from hashlib import md5
 from random import Random
+from statistics import median_low
 
 from zincladder import interface as api
 
@@ -18,6 +19,7 @@
 POINTS_EVEN = 128  # where no weights are listed; the paper's 4 leave some members twice the share of others
 SPILL = 0.75  # of a cache's link in use, as this router sees it: past it an object goes on to the next point
 UNEVEN = 1.5  # and only past so many times its neighbours' mean: slow fills crowd all caches alike
+CRAWL = 3.0  # times its neighbours' pace: past it a cache's fills are slow by the cache, not by their source
 PROMPT = 1.0  # of a class's base aim that a strain may add to a request's sending; past it, it is refused
 LINK_FULL = 2.5  # transfers on the location's link over those at full pace; fills then crawl past the aim
 PARENT_PART = 0.2  # a parent's link, of the pooled links of the caches behind it: the least likely
@@ -44,6 +46,7 @@
 PROBING = (-1, 0)  # the timer of the probes
 
 SOURCE_FAULTS = (api.Note.SOURCE_REFUSED, api.Note.SOURCE_FAILED)
+FILLS = (api.Note.FILLED, api.Note.FILLED_VIA_ORIGIN)
 BLAMES_SOURCE = (*SOURCE_FAULTS, api.Note.SOURCE_LACKS, api.Note.ORIGIN_FAILED)
 OWN_FAULT = (api.Result.ERROR, api.Result.RESET)  # the request's, or its connection's: not the member's
 NEVER_RAN = (api.Result.REFUSED, api.Result.UNREACHABLE, api.Result.UNSENT, api.Result.MISS)
@@ -82,7 +85,7 @@
     heard_at: float
     failing: float = 0.0  # share of failures, lately
     out: int = 0  # attempts of this router that it holds
-    slow: float = 0.0  # how much longer than the sending time fills from it take, lately
+    slow: float = 0.0  # how much longer than the sending time its hits, or fills from it, take lately
     off: bool = False
     prompt: bool = False  # its last failure came at once: it is ill, not silent
     trial_at: float = 0.0
@@ -354,8 +357,8 @@
         # Guards the origin, which alone runs writes: where parents fail, all routers would fall back on it.
         spare = origin if self.spare >= 1 or not self.parents.ids else None
         source = origin if job.klass.never_kept else self._pick(self.parents, job, job.work, now) or spare
-        told = request.size_kb > 0  # else a fill's pace tells of its size, not of the source
-        late = self._late(job, max(self.link / LINK_FULL, source.slow if source and told else 0.0))
+        pace = source.slow if source and request.size_kb > 0 else 0.0  # untold, it tells of sizes alone
+        late = self._late(job, max(self.link / LINK_FULL, pace))
         if job.klass.never_kept:
             cache = origin if s.bypass else cache
         elif cache and job.stale:
@@ -486,7 +489,7 @@
 
     def _judge(self, event: api.AttemptEnded, attempt: Attempt, blamed: api.MemberIds, now: float) -> None:
         """Files an outcome under the member it tells of: the fill's source, or the cache asked."""
-        job, told = attempt.job, attempt.job.request.size_kb > 0
+        job, klass, told = attempt.job, attempt.job.request.klass, attempt.job.request.size_kb > 0
         cache, source = self.seen.get(attempt.cache), self.seen.get(attempt.source)
         self._report(attempt.cache, event.report)
         beside = attempt.source in self.caches.ids and attempt.source != attempt.cache
@@ -503,29 +506,24 @@
             prompt = event.note is api.Note.SOURCE_FAILED and event.fill_wait < job.klass.aim / 2
             return self._mark(source if event.note in SOURCE_FAULTS else None, True, now, prompt)
         if event.result is api.Result.OK and event.note is api.Note.HIT and not told:
-            self._time(job.request.klass, event.latency)
-        direct = event.result is api.Result.OK and attempt.cache in self.parents.ids
-        server = cache if direct else source
-        if server and (direct or event.note in (api.Note.FILLED, api.Note.FILLED_VIA_ORIGIN)):
+            # Guards the guards: with sizes untold, only a hit's time tells of work; no link was spared at 0.
+            self.timed[klass] += 1
+            share = max(RECENT, 1 / self.timed[klass])
+            self.mean_work[klass] += (event.latency - self.mean_work[klass]) * share
+        own = event.note is api.Note.HIT or attempt.cache in self.parents.ids
+        server = cache if own else source
+        if server and event.result is api.Result.OK and (own or event.note in FILLS):
             pace = (event.latency - event.fill_wait) / max(job.work, YOUNGEST)
-            share = MEMORY if told else RECENT  # untold: sizes are noise
-            server.slow += share * (pace - server.slow)
-            self._mark(server, False, now)
+            usual = median_low([1.0, *(max(1.0, self.seen[i].slow) for i in self.caches.ids)])
+            pace *= usual / cache.slow if cache and not own and cache.slow > CRAWL * usual else 1.0
+            server.slow += (MEMORY if told else RECENT) * (pace - server.slow)  # untold: sizes are noise
+            self._mark(None if attempt.cache in self.caches.ids and own else server, False, now)
         if event.result is api.Result.TIMED_OUT and cache and cache.heard_at > attempt.sent_at:
             return  # slow, not silent
         failed = event.result not in (api.Result.OK, api.Result.MISS)  # a lack is an answer of the cache's
         for i in sorted(blamed if failed else {attempt.cache}) if event.result not in OWN_FAULT else ():
             self._mark(self.seen.get(i), failed, now)
 
-    def _time(self, klass: int, latency: float) -> None:
-        """Guards the guards: with sizes untold, all sending times were 0 and no link or cold member spared.
-
-        A hit takes its sending time and little else, as long as its cache is not crowded.
-        """
-        self.timed[klass] += 1
-        share = max(RECENT, 1 / self.timed[klass])
-        self.mean_work[klass] += (latency - self.mean_work[klass]) * share
-
     def _mark(self, seen: Seen | None, failed: bool, now: float, prompt: bool = False) -> None:
         """Guards against members that do not answer, whatever the cause: silence, errors or refusals."""
         if seen is None:
