Take no load report that holds 'nan', 'inf' or less than nothing

float() reads such words too, and the report went on to the module, which judges all caches by means over their reports: one ill cache could spoil what is believed of the others. The report now tells nothing, as a spoilt one did before; its answer stands.

--- a/tests/test_deployments.py
+++ b/tests/test_deployments.py
@@ -24,6 +24,7 @@
 from zincladder.net import protocol
 
 pytestmark = pytest.mark.anyio
+SECOND_REPORT = {"how": "inline", "names": ["busy", "rif", "x1", "x0"]}
 KEY_32 = "5c0f6e1a2b3d4c59a8b7c6d5e4f30211"
 
 
@@ -47,7 +48,7 @@
     found["domain"] |= {"freshFor": [0.0] * 3, "usableAfter": [0.0] * 3, "detail": "all", "peersFill": "any"}
     found["domain"] |= {"clientKbPerS": 4000.0, "attachedTo": [0, 1]}
     found["invariants"] |= {"drainGrace": 1.0, "overloadFor": 1.5}
-    found["report"] = {"how": "inline", "names": ["busy", "rif", "x1", "x0"]}
+    found["report"] = SECOND_REPORT
     return found | {"weightSource": "rough"}
 
 
@@ -215,6 +216,22 @@
     assert await seen_of(base | {field: one or ""}, told) != await seen_of(other, told)
 
 
+@both
+@pytest.mark.parametrize("value", ["nan", "inf", "-inf", "-1", "1e999", "much", ""])
+async def test_a_load_report_that_holds_no_load_tells_nothing_and_its_answer_stands(
+    site: Site, value: str, told: list[api.Event]
+) -> None:
+    # guards what is judged by a mean over all caches: one NaN in it is a NaN for all
+    async def ill(_: StubCache, fetch: Fetch) -> None:
+        said = f"tell=local,rev=aa,since=1,meter=util:0.5;inflight:{value};x1:0.5;x0:0.5"
+        await fetch.answer(200, said, b"x")
+
+    async with world(ill, settings=site.settings | {"report": SECOND_REPORT}) as w, client(w) as c:
+        await c.ask(route=site.read)
+        assert (await c.reply()).kind == "served"
+    assert [(e.result, e.report) for e in ends(told)] == [(api.Result.OK, ())]
+
+
 @pytest.mark.parametrize("field", ANSWER_FIELDS)
 async def test_each_field_of_an_answer_reaches_the_module_or_says_why_not(
     field: str, told: list[api.Event]
--- a/zincladder/net/protocol.py
+++ b/zincladder/net/protocol.py
@@ -82,9 +82,11 @@
     """A load report by the module's names; one that is spoilt tells nothing, and the answer stands."""
     try:
         pairs = (pair.split(":") for pair in text.split(";") if text)
-        return {REPORTS.get(name, name): float(value) for name, value in pairs}
+        report = {REPORTS.get(name, name): float(value) for name, value in pairs}
     except ValueError:
         return {}
+    # float() takes 'nan' and 'inf' too: one of them in a mean spoils it for all the caches judged by it.
+    return report if all(0.0 <= value < math.inf for value in report.values()) else {}
 
 
 # Clients to fronts ---------------------------------------------------------------------------------
