--- /dev/null
+++ b/tests/processes.py
@@ -0,0 +1,523 @@
+"""Several real processes of the program, with a relay on each link between them and faults on both.
+
+Nothing here waits for a time: `until` waits for a state that can be seen, and fails with all logs where it
+doesn't come. Processes are ended by their ids when the rig ends.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import itertools
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+from collections.abc import AsyncIterator, Callable, Sequence
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+import anyio
+import anyio.abc
+
+from tests import stands
+from tests.stands import KEY, SETTINGS, Fetch, StubCache, configuration
+from zincladder.agreement import calls
+from zincladder.agreement.client import Client, NoAnswer, Open
+from zincladder.agreement.registers import Missed
+from zincladder.links.host import FAILED
+from zincladder.policy import book
+from zincladder.policy.conductor import proposed
+from zincladder.policy.document import canonical, laid_over
+from zincladder.policy.model import RECORD, Outcome, Past, Record, document_id
+
+BOUND = 20.0  # seconds for anything that is waited for
+GROUP = "test"
+BEAT_MS, ELECTION_MS = 40, 250
+LEASE = {"seconds": 1.5, "renew_s": 0.25, "check_s": 1.0, "clear_s": 0.3}
+
+
+class Relay:
+    """One way to connect from one process to another: both directions of it pass, or don't.
+
+    `held` says which directions stand still ("to", "back"): what is sent then waits, as behind a cut cable.
+    """
+
+    def __init__(self, tasks: anyio.abc.TaskGroup) -> None:
+        self._tasks, self.target = tasks, 0
+        self.port = 0
+        self.held: set[str] = set()
+        self.delay = 0.0
+        self.tear = -1  # bytes that still pass in the direction "to" before the connection is reset
+        self._streams: set[anyio.abc.SocketStream] = set()
+        self._changed = anyio.Event()
+
+    async def start(self) -> None:
+        listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+        self.port = listener.extra(anyio.abc.SocketAttribute.local_port)
+        self._tasks.start_soon(listener.serve, self._relay)
+
+    def hold(self, *directions: str) -> None:
+        self.held = set(directions)
+        self._changed.set()
+        self._changed = anyio.Event()
+
+    async def reset(self) -> None:
+        """Ends all connections with a reset, wherever in a message they are."""
+        for stream in list(self._streams):
+            await self._abort(stream)
+
+    @staticmethod
+    async def _abort(stream: anyio.abc.SocketStream) -> None:
+        with contextlib.suppress(OSError, ValueError, AttributeError):  # closed meanwhile
+            sock = stream.extra(anyio.abc.SocketAttribute.raw_socket)
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
+        await anyio.aclose_forcefully(stream)
+
+    async def _relay(self, near: anyio.abc.SocketStream) -> None:
+        try:
+            async with near, await anyio.connect_tcp("127.0.0.1", self.target) as far:
+                self._streams |= {near, far}
+                async with anyio.create_task_group() as tasks:
+                    tasks.start_soon(self._pump, near, far, "to", tasks)
+                    tasks.start_soon(self._pump, far, near, "back", tasks)
+        except* (OSError, anyio.BrokenResourceError, anyio.ClosedResourceError):
+            pass
+        finally:
+            self._streams.discard(near)
+
+    async def _pump(
+        self,
+        source: anyio.abc.SocketStream,
+        sink: anyio.abc.SocketStream,
+        way: str,
+        tasks: anyio.abc.TaskGroup,
+    ) -> None:
+        with contextlib.suppress(
+            OSError, anyio.EndOfStream, anyio.BrokenResourceError, anyio.ClosedResourceError
+        ):
+            while True:
+                data = await source.receive()
+                if self.delay:
+                    await anyio.sleep(self.delay)
+                while way in self.held:
+                    await self._changed.wait()
+                if way == "to" and 0 <= self.tear < len(data):
+                    await sink.send(data[: self.tear])
+                    self.tear = -1
+                    await self._abort(source)
+                    break
+                await sink.send(data)
+        self._streams.discard(source)
+        tasks.cancel_scope.cancel()
+
+
+@dataclass
+class Process:
+    """One process of the program, which can be started again on the same files."""
+
+    name: str
+    folder: Path
+    command: list[str]
+    environ: dict[str, str] = field(default_factory=dict)
+    popen: subprocess.Popen[bytes] | None = None
+    lives: int = 0
+
+    @property
+    def log_path(self) -> Path:
+        return self.folder / f"log-{self.lives}.txt"
+
+    def start(self) -> None:
+        assert self.popen is None
+        self.lives += 1
+        with self.log_path.open("wb") as log:
+            self.popen = subprocess.Popen(
+                [sys.executable, "-m", "zincladder", *self.command], stderr=log, stdout=log,
+                env=os.environ | self.environ,
+            )  # fmt: skip
+
+    def events(self, name: str) -> list[dict[str, Any]]:
+        """Lines of this life's log with that event."""
+        found = []
+        for line in self.log_path.read_text().splitlines():
+            with contextlib.suppress(ValueError):
+                data = json.loads(line)
+                if data.get("event") == name:
+                    found.append(data)
+        return found
+
+    def send(self, number: int) -> None:
+        assert self.popen is not None
+        self.popen.send_signal(number)
+
+    def stop(self) -> None:
+        self.send(signal.SIGSTOP)
+
+    def go_on(self) -> None:
+        self.send(signal.SIGCONT)
+
+    def kill(self) -> None:
+        if self.popen is not None:
+            self.popen.kill()
+            self.popen.wait()
+            self.popen = None
+
+    async def ended(self) -> int:
+        """Its status, once it has ended by itself."""
+        assert self.popen is not None
+        with anyio.fail_after(BOUND):
+            while self.popen.poll() is None:
+                await anyio.sleep(0.01)
+        status = self.popen.returncode
+        self.popen = None
+        return status
+
+
+class Rig:
+    """Keepers, and what a test does to them."""
+
+    def __init__(self, folder: Path, tasks: anyio.abc.TaskGroup) -> None:
+        self._folder, self._tasks = folder, tasks
+        self.processes: dict[str, Process] = {}
+        self.ports: dict[str, int] = {}
+        self.controls: dict[str, int] = {}
+        self.relays: dict[tuple[str, str], Relay] = {}
+
+    async def until(self, what: str, good: Callable[[], Any]) -> Any:
+        """Waits for a state; its value. Fails with all logs after BOUND seconds."""
+        with anyio.move_on_after(BOUND):
+            while True:
+                found = good()
+                if hasattr(found, "__await__"):
+                    found = await found
+                if found:
+                    return found
+                await anyio.sleep(0.02)
+        raise AssertionError(f"not in {BOUND} s: {what}\n{self.logs()}")
+
+    def logs(self) -> str:
+        return "\n".join(
+            f"--- {p.name}, life {p.lives}\n{p.log_path.read_text()[-3000:]}"
+            for p in self.processes.values()
+            if p.log_path.exists()
+        )
+
+    async def relay(self, a: str, b: str) -> Relay:
+        if (a, b) not in self.relays:
+            self.relays[a, b] = Relay(self._tasks)
+            await self.relays[a, b].start()
+        return self.relays[a, b]
+
+    # Fronts ---------------------------------------------------------------------------------------
+
+    async def front(
+        self, name: str, caches: list[StubCache], cut_off: str = "stop", **settings: Any
+    ) -> Process:
+        """A front under the group's policy that reaches each keeper through a relay. Started, not ready."""
+        folder = self._folder / name
+        (folder / "tmp").mkdir(parents=True)
+        data = configuration([c.member() for c in caches], name=name, control="127.0.0.1:0")
+        # A purge of an hour ago, within its time: each attempt then says the oldest copy that will do, which
+        # is the class's fresh time, and so under which policy it was decided.
+        data["settings"] = laid_over(SETTINGS, settings)
+        data["settings"]["domain"] = data["settings"]["domain"] | {"goneEverywhere": 80_000.0}
+        hour_ago = int((time.time() - 3600) * 1000)
+        data["known"]["updates"].append({"index": 2, "evict": {"ref": KEY, "shard": 0, "unix_ms": hour_ago}})
+        (folder / "config.json").write_text(json.dumps(data))
+        keepers = sorted(n for n in self.ports if n.startswith("k"))
+        places = [f'{k} = "127.0.0.1:{(await self.relay(name, k)).port}"' for k in keepers]
+        for keeper in keepers:
+            self.relays[name, keeper].target = self.ports[keeper]
+        lines = ["[policy]", f'group = "{GROUP}"', f'cut_off = "{cut_off}"', "[policy.keepers]", *places]
+        (folder / "operator.toml").write_text("\n".join(lines))
+        environ = {
+            "RELAY_CONFIG": str(folder / "config.json"),
+            "ZINCLADDER_OPERATOR": str(folder / "operator.toml"),
+            "TMPDIR": str(folder / "tmp"),
+        }
+        process = self.processes[name] = Process(name, folder, [], environ)
+        await self.start_front(name)
+        return process
+
+    async def start_front(self, name: str) -> None:
+        """Starts a front; it listens when this returns, and serves once it has learned the policy."""
+        process = self.processes[name]
+        process.start()
+        (said, *_) = await self.until(f"{name} listens", lambda: process.events("ready"))
+        self.ports[name] = said["clients"][1]
+        self.controls[name] = said["operators"][1]
+
+    async def ready(self, name: str) -> str:
+        """What a front says to READY."""
+        try:
+            async with await anyio.connect_tcp("127.0.0.1", self.controls[name]) as stream:
+                await stream.send(b"READY\n")
+                with anyio.fail_after(2):
+                    return (await stream.receive()).decode().strip()
+        except (OSError, TimeoutError, anyio.EndOfStream):
+            return ""
+
+    async def serving(self, *names: str) -> None:
+        """Waits until these fronts say that they can serve."""
+        for name in names:
+
+            async def good(name: str = name) -> bool:
+                return await self.ready(name) == "SUCCESS"
+
+            await self.until(f"{name} is ready", good)
+
+    def cut_front(self, name: str, *ways: str) -> None:
+        """Holds what a front says ("to"), what it is told ("back"), or both; nothing: lets all through."""
+        for (a, _), relay in self.relays.items():
+            if a == name:
+                relay.hold(*ways)
+
+    # Changes --------------------------------------------------------------------------------------
+
+    async def record(self) -> Record:
+        return book.read(await self.client_of_keepers().get("")).record
+
+    def client_of_keepers(self) -> Client:
+        return self.client(*(n for n in self.ports if n.startswith("k")))
+
+    async def propose(self, mark: int, **settings: Any) -> tuple[int, str]:
+        """Proposes a policy whose mark shows in each answer; its version, or 0 and why not."""
+        client = self.client_of_keepers()
+        data = canonical({"settings": laid_over(marked(mark), settings)})
+        found = book.read(await client.get(""))
+        new = proposed(found.record, found.record.version, document_id(data), "test", f"mark {mark}", 0.0)
+        if isinstance(new, str):
+            return 0, new
+        assert new.open is not None
+        for swap in (book.document_swap(data), book.record_swap(found.at, new)):
+            said = await client.swap(swap.key, swap.expected, swap.data)
+            if isinstance(said, Missed) and swap.key == RECORD:
+                return 0, "another came first"
+        return new.open.version, ""
+
+    async def outcome(self, version: int) -> Past:
+        """How a change has ended, once it has."""
+
+        async def ended() -> Past | None:
+            try:
+                record = await self.record()
+            except (NoAnswer, Open):
+                return None
+            return next((p for p in record.history if p.version == version), None)
+
+        found: Past = await self.until(f"version {version} comes to an end", ended)
+        return found
+
+    async def change(self, mark: int, **settings: Any) -> Past:
+        """Proposes as often as it takes to be heard, and waits for the end."""
+        while True:
+            try:
+                version, _ = await self.propose(mark, **settings)
+            except (NoAnswer, Open):
+                version = 0
+            if version:
+                return await self.outcome(version)
+            record = await self.record()
+            done = [p for p in record.history if p.note == f"mark {mark}"]
+            held = next((p for p in done if p.outcome is Outcome.HELD), None)
+            if held:
+                return held
+            await anyio.sleep(0.05)
+
+    async def insist(self, mark: int) -> Past:
+        """Proposes a change until it holds: one that too few fronts have heard of comes to nothing."""
+        with anyio.fail_after(2 * BOUND):
+            while (past := await self.change(mark)).outcome is not Outcome.HELD:
+                await anyio.sleep(0.1)
+        return past
+
+    # Keepers --------------------------------------------------------------------------------------
+
+    async def keeper(self, name: str, founders: list[str], others: list[str]) -> Process:
+        """A keeper that reaches each of the others through a relay; its file is written, it isn't started."""
+        folder = self._folder / name
+        folder.mkdir()
+        lines = [
+            "[lease]", *(f"{key} = {value}" for key, value in LEASE.items()),
+            "[keeper]", f'group = "{GROUP}"', f'name = "{name}"', 'listen = "127.0.0.1:0"',
+            f'directory = "{folder / "kept"}"', f"heartbeat_ms = {BEAT_MS}", f"election_ms = {ELECTION_MS}",
+            "[keeper.members]", *(f'{n} = "127.0.0.1:1"' for n in founders), "[keeper.via]",
+        ]  # fmt: skip
+        for other in others:
+            if other != name:
+                lines.append(f'{other} = "127.0.0.1:{(await self.relay(name, other)).port}"')
+        file = folder / "keeper.toml"
+        file.write_text("\n".join(lines))
+        process = Process(name, folder, ["keep", str(file)])
+        self.processes[name] = process
+        return process
+
+    async def keepers(self, count: int, spare: int = 0) -> list[str]:
+        """Starts a group of so many; the spare ones have files, and are not started."""
+        names = [f"k{n}" for n in range(1, count + spare + 1)]
+        for name in names:
+            await self.keeper(name, names[:count] if name in names[:count] else [], names)
+        for name in names[:count]:
+            await self.start(name)
+        return names
+
+    async def start(self, name: str) -> None:
+        """Starts a keeper, and returns once it listens."""
+        process = self.processes[name]
+        process.start()
+        said = await self.until(f"{name} listens", lambda: process.events("keeping") or self._dead(process))
+        assert said is not True, f"{name} has ended\n{self.logs()}"
+        self.ports[name] = said[0]["port"]
+        for (_, to), relay in self.relays.items():
+            if to == name:
+                relay.target = self.ports[name]
+
+    @staticmethod
+    def _dead(process: Process) -> bool:
+        return process.popen is not None and process.popen.poll() is not None
+
+    async def restart(self, name: str) -> None:
+        self.processes[name].kill()
+        await self.start(name)
+
+    def cut(self, name: str, *, heard: bool = True, hears: bool = True) -> None:
+        """Cuts a keeper off from the others: what it says (`heard`), what they say (`hears`), or both."""
+        for (a, b), relay in self.relays.items():
+            # What `a` tells `b` goes over the link that `a` made; "back" there is the greeting only.
+            if a == name and heard:
+                relay.hold("to", "back")
+            if b == name and hears:
+                relay.hold("to", "back")
+
+    def heal(self) -> None:
+        for relay in self.relays.values():
+            relay.hold()
+
+    def client(self, *names: str) -> Client:
+        places = {n: f"127.0.0.1:{p}" for n, p in self.ports.items() if not names or n in names}
+        return Client(GROUP, places, "test")
+
+    async def standing(self, name: str) -> calls.Standing | None:
+        try:
+            said = await self.client().ask_at(f"127.0.0.1:{self.ports[name]}", calls.Status(), 1.0)
+        except FAILED:
+            return None
+        assert isinstance(said, calls.Standing)
+        return said
+
+    async def leader(self, *but: str) -> str:
+        """Whoever leads a majority: all that can be reached agree on it."""
+
+        async def led() -> str:
+            for name, process in self.processes.items():
+                if process.popen is None or name in but or name not in self.ports:
+                    continue
+                found = await self.standing(name)
+                if found and found.role == "leader" and 2 * len(found.silent) < len(found.voters):
+                    return name
+            return ""
+
+        return str(await self.until("a leader", led))
+
+    async def write(self, key: str, data: bytes, *names: str) -> int:
+        """Sets a register that only this caller writes, however often it has to ask; the version it got."""
+        client = self.client(*names)
+        while True:
+            try:
+                old = (await client.get(key)).get(key)
+                if old and old.data == data:
+                    return old.version
+                said = await client.swap(key, old.version if old else 0, data)
+            except (NoAnswer, Open):
+                continue
+            if hasattr(said, "version") and type(said).__name__ == "Swapped":
+                return int(said.version)
+
+
+def marked(mark: int) -> dict[str, Any]:
+    """Settings that show under which policy a request was decided: `cap`, which the caches give back."""
+    return {"domain": {"freshFor": [0.0, 1000.0 + mark, 0.0]}}
+
+
+async def marking(_: StubCache, fetch: Fetch) -> None:
+    """A cache whose answers say under which policy they were asked for."""
+    await fetch.answer(200, "tell=local,rev=aa,since=1", fetch.fields.get("cap", "0").encode())
+
+
+@dataclass
+class Asked:
+    """One request of a client, and what came of it."""
+
+    front: str
+    began: float
+    ended: float
+    kind: str  # "served", "Throttled", "Broken", "lost"
+    mark: int = 0
+
+
+class Traffic:
+    """Clients that go on asking every front, one request after the other on each connection."""
+
+    def __init__(self, r: Rig, tasks: anyio.abc.TaskGroup, names: Sequence[str], each: int = 2) -> None:
+        self._rig, self.history = r, list[Asked]()
+        self.going, self._traces = True, itertools.count(1)
+        for name in names:
+            for _ in range(each):
+                tasks.start_soon(self._client, name)
+
+    async def _client(self, name: str) -> None:
+        while self.going:
+            began = anyio.current_time()
+            try:
+                async with await anyio.connect_tcp("127.0.0.1", self._rig.ports[name]) as stream:
+                    speaker = stands.Client(stream)
+                    while self.going:
+                        began = anyio.current_time()
+                        await speaker.ask(route="page", patience="2000", trace=f"{next(self._traces):016x}")
+                        with anyio.fail_after(6):
+                            reply = await speaker.reply()
+                        kind = reply.kind
+                        mark = round(float(reply.body) / 1000) - 1000 if kind == "served" else 0
+                        self.history.append(Asked(name, began, anyio.current_time(), kind, mark))
+                        await anyio.sleep(0.01)
+            except (OSError, TimeoutError, anyio.EndOfStream, anyio.BrokenResourceError):
+                self.history.append(Asked(name, began, anyio.current_time(), "lost"))
+                await anyio.sleep(0.03)
+
+    def served(self, name: str, mark: int) -> bool:
+        """Whether a front has served under that mark lately."""
+        return any(a.front == name and a.mark == mark for a in self.history[-400:])
+
+    def since(self, name: str, when: float) -> list[Asked]:
+        """What a front was asked from that time on."""
+        return [a for a in self.history if a.front == name and a.began > when]
+
+    def judge(self) -> None:
+        """Linearizable versions: whoever asks after an answer gets no older one, at whichever front."""
+        served = sorted((a for a in self.history if a.kind == "served"), key=lambda a: a.ended)
+        newest, done = 0, iter(served)
+        following = next(done, None)
+        for asked in sorted(served, key=lambda a: a.began):
+            while following is not None and following.ended < asked.began:
+                newest, following = max(newest, following.mark), next(done, None)
+            if asked.mark < newest:
+                raise AssertionError(f"served under {asked.mark} after {newest} was in force: {asked}")
+
+
+@contextlib.asynccontextmanager
+async def rig(folder: Path) -> AsyncIterator[Rig]:
+    """A rig whose processes all end with the block."""
+    async with anyio.create_task_group() as tasks:
+        found = Rig(folder, tasks)
+        try:
+            yield found
+        finally:
+            for process in found.processes.values():
+                if process.popen is not None:
+                    with contextlib.suppress(ProcessLookupError):
+                        process.go_on()
+                process.kill()
+            tasks.cancel_scope.cancel()
--- a/tests/test_export.py
+++ b/tests/test_export.py
@@ -27,7 +27,8 @@
 from hypothesis import strategies as st
 
 from zincladder.config import ConfigError, RemoteWriteConfig
-from zincladder.export import messages, records
+from zincladder.durable import records
+from zincladder.export import messages
 from zincladder.export.delivery import Delivery, Fate, Next, Outcome, Rules, retry_after
 from zincladder.export.sender import RemoteWrite
 from zincladder.export.spool import MemoryStore, Spool
@@ -197,7 +198,7 @@
             slot = spool._generation % 2 * records.SLOT.size
             slots[slot + data.draw(st.integers(0, records.SLOT.size - 1))] ^= 0x55
             cursor.write_bytes(bytes(slots))
-        kept = [r.unix_ms for r in records.scan(whole[:cut])]
+        kept = [r.stamp for r in records.scan(whole[:cut], records.SPOOL)]
         again = Spool(Path(folder), 1 << 30)
         found = drain(again)
         # In order, whole, nothing that was done before the last one, and all that was written.
@@ -253,7 +254,8 @@
     again = Spool(tmp_path, 1 << 20)
     assert "notes.txt" in again.foreign
     found = drain(again)
-    in_first = len(list(records.scan(segments[0].read_bytes()))) if segments[0].exists() else found.index(600)
+    first = segments[0].read_bytes() if segments[0].exists() else None
+    in_first = found.index(600) if first is None else len(list(records.scan(first, records.SPOOL)))
     assert found == sorted(found) and found[0] == 1 and found[-1] == 600 and len(found) + again.lost == 600
     assert in_first and (tmp_path / "notes.txt").read_text() == "not ours"
 
--- /dev/null
+++ b/tests/test_keepers.py
@@ -0,0 +1,273 @@
+"""A group of keepers as real processes: what was answered holds, whatever is killed, stopped or cut off."""
+
+from __future__ import annotations
+
+import shutil
+import signal
+from pathlib import Path
+
+import anyio
+import pytest
+
+from tests.processes import Rig, rig
+from zincladder.agreement import calls
+from zincladder.agreement.client import Client, NoAnswer, Open
+from zincladder.agreement.registers import Missed, Swapped
+
+pytestmark = pytest.mark.anyio
+
+
+async def test_what_was_answered_outlives_every_keepers_kill(tmp_path: Path) -> None:
+    async with rig(tmp_path) as r:
+        names = await r.keepers(3)
+        version = await r.write("a", b"1")
+        for name in names:
+            r.processes[name].kill()
+        for name in names:
+            await r.start(name)
+        found = await r.client().get("a")
+        assert found["a"].data == b"1" and found["a"].version == version
+
+
+async def test_a_write_holds_when_the_leader_is_killed_the_moment_it_was_answered(tmp_path: Path) -> None:
+    async with rig(tmp_path) as r:
+        await r.keepers(3)
+        for n in range(3):
+            leader = await r.leader()
+            await r.write(f"key{n}", b"%d" % n)
+            r.processes[leader].kill()
+            found = await r.client().get("key")
+            assert [v.data for v in found.values()] == [b"%d" % i for i in range(n + 1)]
+            await r.start(leader)
+
+
+async def test_one_of_two_writers_that_saw_the_same_version_is_told_what_it_missed(tmp_path: Path) -> None:
+    async with rig(tmp_path) as r:
+        await r.keepers(3)
+        said: list[object] = []
+
+        async def write(value: bytes) -> None:
+            said.append(await r.client().swap("x", 0, value))
+
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(write, b"one")
+            tasks.start_soon(write, b"two")
+        (won,) = [s for s in said if isinstance(s, Swapped)]
+        assert [s for s in said if isinstance(s, Missed)] == [Missed(won.version)]
+
+
+async def test_a_keeper_takes_no_record_that_it_cannot_read(tmp_path: Path) -> None:
+    # seen: one such write ended every keeper that came to lead, one after the other
+    async with rig(tmp_path) as r:
+        await r.keepers(1)
+        for key, said in (("policy", "no record"), ("terms", "own"), ("document/1", "by its content")):
+            with pytest.raises(NoAnswer, match=said):
+                await r.client().swap(key, 0, b"1")
+        assert isinstance(await r.client().swap("x", 0, b"1"), Swapped)
+
+
+async def test_a_leader_that_was_stopped_answers_nothing_old_when_it_wakes(tmp_path: Path) -> None:
+    async with rig(tmp_path) as r:
+        await r.keepers(3)
+        old = await r.leader()
+        await r.write("a", b"before")
+        r.processes[old].stop()
+        new = await r.leader(old)
+        await r.write("a", b"after", *(r.ports.keys() - {old}))
+        r.processes[old].go_on()
+        # asked before it can have heard anything of the other's term
+        place = {old: f"127.0.0.1:{r.ports[old]}"}
+        try:
+            found = await Client("test", place, "late").get("a", 2.0)
+            assert found["a"].data == b"after"
+        except NoAnswer as fault:
+            assert new in str(fault) or "knows no leader" in str(fault)
+
+
+async def test_a_minority_decides_nothing_and_says_so(tmp_path: Path) -> None:
+    async with rig(tmp_path) as r:
+        names = await r.keepers(3)
+        leader = await r.leader()
+        await r.write("a", b"1")
+        rest = [n for n in names if n != leader]
+        for name in rest:
+            r.processes[name].kill()
+        with pytest.raises((Open, NoAnswer)):
+            await r.client(leader).swap("a", 1, b"2", 3.0)
+        with pytest.raises(NoAnswer):
+            await r.client(leader).get("a", 2.0)
+        await r.start(rest[0])
+        assert (await r.client().get("a"))["a"].data in (b"1", b"2")
+
+
+@pytest.mark.parametrize("heard, hears", [(True, True), (True, False), (False, True)])
+async def test_a_leader_that_is_cut_off_is_followed_and_its_open_write_is_not_half_done(
+    tmp_path: Path, heard: bool, hears: bool
+) -> None:
+    # cut off both ways, or one way: it hears and isn't heard, or is heard and hears nothing
+    async with rig(tmp_path) as r:
+        names = await r.keepers(3)
+        old = await r.leader()
+        first = await r.write("a", b"1")
+        r.cut(old, heard=heard, hears=hears)
+        try:
+            said = await r.client(old).swap("a", first, b"2", 3.0)
+            taken = isinstance(said, Swapped)
+        except (Open, NoAnswer):
+            taken = False
+        if heard:  # its word gets through to nobody: the others elect
+            new = await r.leader(old)
+            assert new != old
+        await r.write("b", b"1", *(n for n in names if n != old))
+        r.heal()
+        found = await r.client().get("")
+        assert found["b"].data == b"1"
+        assert found["a"].data == b"2" or not taken
+        await r.until("all three agree", lambda: _same(r, names))
+
+
+async def _same(r: Rig, names: list[str]) -> bool:
+    found = [await r.standing(n) for n in names]
+    return (
+        all(f and f.commit == found[0].commit and f.leader for f in found if found[0]) and None not in found
+    )
+
+
+async def test_links_that_are_torn_in_the_middle_of_messages_cost_nothing_that_was_answered(
+    tmp_path: Path,
+) -> None:
+    async with rig(tmp_path) as r:
+        await r.keepers(3)
+        for n in range(12):
+            for i, relay in enumerate(r.relays.values()):
+                if n % 3 == 0:
+                    relay.tear = 5 + 7 * i + n
+                elif n % 3 == 1:
+                    await relay.reset()
+            await r.write(f"x/{n:02}", b"%d" % n)
+        found = await r.client().get("x/")
+        assert [v.data for v in found.values()] == [b"%d" % n for n in range(12)]
+
+
+async def test_a_keeper_with_an_empty_directory_is_refused_by_name_until_it_is_added_anew(
+    tmp_path: Path,
+) -> None:
+    # guards votes: one that forgot its own could elect a leader that lacks what was answered
+    async with rig(tmp_path) as r:
+        names = await r.keepers(3)
+        leader = await r.leader()
+        lost = next(n for n in names if n != leader)
+        await r.write("a", b"1")
+        r.processes[lost].kill()
+        shutil.rmtree(r.processes[lost].folder / "kept")
+        await r.start(lost)
+        await r.until("it is told why", lambda: r.processes[lost].events("refused by another keeper"))
+        said = r.processes[lost].events("refused by another keeper")[0]["why"]
+        assert "directory is not the one" in said
+        found = await r.standing(lost)
+        assert found is not None and found.last == 0
+        client = r.client()
+        assert await client.ask(calls.Change(remove=lost)) == calls.Done()
+        r.processes[lost].kill()
+        shutil.rmtree(r.processes[lost].folder / "kept")
+        file = r.processes[lost].folder / "keeper.toml"  # it no longer founds: it is added
+        text = file.read_text()
+        before, _, after = text.partition("[keeper.members]")
+        file.write_text(before + "[keeper.via]" + after.partition("[keeper.via]")[2])
+        await r.start(lost)
+        assert await client.ask(calls.Change(add={lost: "127.0.0.1:1"})) == calls.Done()
+
+        async def votes() -> bool:
+            found = await r.standing(lost)
+            return found is not None and lost in found.voters and found.leader != ""
+
+        await r.until("it votes again", votes)
+        other = next(n for n in names if n not in (leader, lost))
+        r.processes[other].kill()  # now its vote is needed
+        await r.write("a", b"2", leader, lost)
+
+
+async def test_a_keeper_of_another_group_or_name_is_refused_by_name(tmp_path: Path) -> None:
+    async with rig(tmp_path) as r:
+        await r.keepers(1)
+        where = f"127.0.0.1:{r.ports['k1']}"
+        with pytest.raises(NoAnswer, match="group 'other', not 'test'"):
+            await Client("other", {"k1": where}, "x").get("a", 0.5)
+        with pytest.raises(NoAnswer, match="'stranger' is no member"):
+            await Client("test", {"k1": where}, "stranger", "keeper").get("a", 0.5)
+
+
+async def test_a_torn_tail_is_cut_off_and_a_spoilt_middle_is_refused_by_name(tmp_path: Path) -> None:
+    async with rig(tmp_path) as r:
+        await r.keepers(1)
+        for n in range(5):
+            await r.write(f"x/{n}", b"x" * 100)
+        process = r.processes["k1"]
+        process.kill()
+        (path,) = (process.folder / "kept").glob("*.log")
+        whole = path.read_bytes()
+        path.write_bytes(whole + b"\7" * 33)
+        await r.start("k1")
+        assert process.events("keeping")[0]["torn"] == 33
+        assert len(await r.client().get("x/")) == 5
+        process.kill()
+        spoilt = bytearray(path.read_bytes())
+        spoilt[whole.index(b"x" * 100) + 3] ^= 1
+        path.write_bytes(spoilt)
+        process.start()
+        assert await process.ended() == 1
+        (said,) = process.events("the keeper ends")
+        assert path.name in said["why"] and "whole records behind it" in said["why"]
+
+
+async def test_two_processes_never_share_a_directory(tmp_path: Path) -> None:
+    async with rig(tmp_path) as r:
+        await r.keepers(1)
+        second = r.processes["k1"]
+        twin = type(second)("twin", tmp_path / "twin", second.command)
+        twin.folder.mkdir()
+        r.processes["twin"] = twin
+        twin.start()
+        assert await twin.ended() == 1
+        assert "another process uses it" in twin.events("the keeper ends")[0]["why"]
+
+
+async def test_a_leader_that_is_told_to_end_hands_over_first(tmp_path: Path) -> None:
+    async with rig(tmp_path) as r:
+        names = await r.keepers(3)
+        old = await r.leader()
+        await r.write("a", b"1")
+        r.processes[old].send(signal.SIGTERM)
+        assert await r.processes[old].ended() == 0
+        logs = [r.processes[n].events("standing") for n in names if n != old]
+        assert any(line["role"] == "leader" for lines in logs for line in lines)
+
+
+async def test_a_keeper_far_behind_takes_a_snapshot_in(tmp_path: Path) -> None:
+    async with rig(tmp_path) as r:
+        names = await r.keepers(3)
+        leader = await r.leader()
+        late = next(n for n in names if n != leader)
+        r.processes[late].kill()
+        client = r.client()
+        for n in range(12):  # each write takes 200 KB of journal, and a snapshot is due after 1 MB
+            version = getattr(client, "_seen", 0)
+            said = await client.swap("big", version, b"%02d" % n + bytes(200_000))
+            assert isinstance(said, Swapped)
+            client._seen = said.version  # type: ignore[attr-defined]
+
+        async def compacted() -> bool:
+            found = await r.standing(leader)
+            return found is not None and found.base > 5
+
+        await r.until("the leader has compacted its log", compacted)
+        await r.start(late)
+
+        async def caught_up() -> bool:
+            found, lead = await r.standing(late), await r.standing(leader)
+            return bool(found and lead and found.commit == lead.commit and found.base > 0)
+
+        await r.until("it has caught up", caught_up)
+        other = next(n for n in names if n not in (leader, late))
+        r.processes[other].kill()
+        assert (await r.client(leader, late).get("big"))["big"].data[:2] == b"11"
--- /dev/null
+++ b/tests/test_policy_processes.py
@@ -0,0 +1,361 @@
+"""Changes of a fleet's policy with real keepers and fronts, clients at every front, and faults between them.
+
+Each answer says under which policy it was decided, and the judge holds them against each other: whoever asks
+after an answer gets no older one, at whichever front.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import json
+import random
+import signal
+from collections.abc import AsyncIterator
+from functools import partial
+from pathlib import Path
+
+import anyio
+import pytest
+
+from tests.processes import Process, Rig, Traffic, marked, marking, rig
+from tests.stands import StubCache
+from zincladder.agreement.client import NoAnswer, Open
+from zincladder.policy.document import canonical
+from zincladder.policy.model import Outcome
+
+pytestmark = pytest.mark.anyio
+
+
+class Fleet:
+    """A rig with keepers, stub caches and fronts that serve under version 1."""
+
+    def __init__(self, r: Rig, caches: list[StubCache], tasks: anyio.abc.TaskGroup) -> None:
+        self.r, self.caches, self._tasks = r, caches, tasks
+        self.fronts: list[str] = []
+
+    def traffic(self, *names: str, each: int = 2) -> Traffic:
+        return Traffic(self.r, self._tasks, names or self.fronts, each)
+
+    async def everywhere(self, traffic: Traffic, mark: int, *names: str) -> None:
+        """Waits until each of the fronts has served a client under that mark."""
+        for name in names or self.fronts:
+            await self.r.until(f"{name} serves under mark {mark}", partial(traffic.served, name, mark))
+
+
+@contextlib.asynccontextmanager
+async def fleet(
+    folder: Path, fronts: int = 3, keepers: int = 3, cut_off: str = "stop", begun: bool = True
+) -> AsyncIterator[Fleet]:
+    async with rig(folder) as r, anyio.create_task_group() as tasks:
+        caches = [StubCache(f"s-{n:08x}", 0, marking) for n in (1, 2)]
+        caches += [StubCache("s-000000a0", 1, marking), StubCache("s-000000b0", 2, marking)]
+        for cache in caches:
+            await tasks.start(cache.run)
+        await r.keepers(keepers)
+        f = Fleet(r, caches, tasks)
+        for n in range(fronts):
+            f.fronts.append(f"f{n}")
+            await r.front(f"f{n}", caches, cut_off)
+        if begun:
+            assert (await r.change(1)).outcome is Outcome.HELD
+            await r.serving(*f.fronts)
+        yield f
+        tasks.cancel_scope.cancel()
+
+
+async def test_without_a_policy_a_front_is_not_ready_and_refuses_at_once(tmp_path: Path) -> None:
+    async with fleet(tmp_path, fronts=1, begun=False) as f:
+
+        async def told() -> bool:
+            return await f.r.ready("f0") == "FAILURE no policy of the fleet yet"
+
+        await f.r.until("it says what it lacks", told)
+        traffic = f.traffic()
+        await f.r.until("clients are answered", lambda: len(traffic.history) > 5)
+        assert {a.kind for a in traffic.history} == {"Throttled"}
+        assert max(a.ended - a.began for a in traffic.history[1:]) < 0.5
+        assert (await f.r.change(1)).outcome is Outcome.HELD
+        await f.everywhere(traffic, 1)
+
+
+async def test_changes_take_hold_at_all_fronts_and_no_client_sees_an_older_one_again(tmp_path: Path) -> None:
+    async with fleet(tmp_path) as f:
+        traffic = f.traffic()
+        for mark in range(2, 8):
+            past = await f.r.change(mark)
+            assert (past.outcome, past.absent) == (Outcome.HELD, ())
+            await f.everywhere(traffic, mark)
+        traffic.judge()
+        assert {a.kind for a in traffic.history} <= {"served", "Throttled"}
+        assert pause(traffic) < 0.5
+
+
+def pause(traffic: Traffic) -> float:
+    """The longest time for which a front that serves again had refused all that came, in seconds."""
+    longest, since = 0.0, dict[str, float]()
+    for asked in sorted(traffic.history, key=lambda a: a.ended):
+        if asked.kind == "served":
+            longest = max(longest, asked.ended - since.pop(asked.front, asked.ended))
+        else:
+            since.setdefault(asked.front, asked.began)
+    return longest
+
+
+async def test_a_third_of_the_fronts_down_learn_the_change_before_they_are_ready(tmp_path: Path) -> None:
+    async with fleet(tmp_path, fronts=3) as f:
+        traffic = f.traffic("f0", "f1")
+        f.r.processes["f2"].kill()
+        past = await f.r.change(2)
+        assert (past.outcome, past.absent) == (Outcome.HELD, ("f2",))
+        await f.everywhere(traffic, 2, "f0", "f1")
+        await f.r.start_front("f2")
+        late = f.traffic("f2")
+        await f.r.serving("f2")
+        await f.everywhere(late, 2, "f2")
+        assert {a.mark for a in late.history if a.kind == "served"} == {2}
+        traffic.history += late.history
+        traffic.judge()
+
+
+async def test_a_front_that_slept_over_a_change_refuses_when_it_wakes_under_load(tmp_path: Path) -> None:
+    async with fleet(tmp_path) as f:
+        traffic = f.traffic()
+        await f.everywhere(traffic, 1)
+        f.r.processes["f1"].stop()
+        past = await f.r.change(2)
+        assert past.outcome is Outcome.HELD
+        await f.everywhere(traffic, 2, "f0", "f2")
+        woke = anyio.current_time()
+        f.r.processes["f1"].go_on()
+        await f.everywhere(traffic, 2, "f1")
+        # requests that it had taken before it slept keep their rules; none that came later does
+        after = [a for a in traffic.history if a.front == "f1" and a.began > woke]
+        assert after and {a.mark for a in after if a.kind == "served"} == {2}
+        traffic.history = [a for a in traffic.history if a.front != "f1" or a.began > woke]
+        traffic.judge()
+
+
+@pytest.mark.parametrize("ways", [("to",), ("back",), ("to", "back")], ids="-".join)
+async def test_a_front_that_is_cut_off_in_the_middle_serves_nothing_old(
+    tmp_path: Path, ways: tuple[str, ...]
+) -> None:
+    async with fleet(tmp_path) as f:
+        traffic = f.traffic()
+        await f.everywhere(traffic, 1)
+        f.r.cut_front("f1", *ways)
+        assert (await f.r.change(2)).outcome is Outcome.HELD
+        await f.everywhere(traffic, 2, "f0", "f2")
+        assert not traffic.served("f1", 2)
+        f.r.cut_front("f1")
+        await f.everywhere(traffic, 2, "f1")
+        traffic.judge()
+
+
+@pytest.mark.parametrize("seed", range(3))
+async def test_a_leader_that_is_killed_at_any_moment_leaves_no_change_half_made(
+    tmp_path: Path, seed: int
+) -> None:
+    draw = random.Random(seed)
+    async with fleet(tmp_path) as f:
+        traffic = f.traffic()
+        for mark in range(2, 5):
+            leader = await f.r.leader()
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(f.r.insist, mark)
+                await anyio.sleep(draw.uniform(0, 0.08))
+                f.r.processes[leader].kill()
+            await f.everywhere(traffic, mark)
+            await f.r.start(leader)
+        traffic.judge()
+        record = await f.r.record()
+        assert record.open is None and [p.version for p in record.history] == sorted(
+            p.version for p in record.history
+        )
+
+
+async def test_a_front_whose_limits_forbid_a_change_stops_it_everywhere_and_says_why(tmp_path: Path) -> None:
+    async with fleet(tmp_path, fronts=2) as f:
+        # its own file lacks what the others' have: a class that the policy rules over can't be read there
+        page = {"name": "page", "onTime": 0.3, "deadline": 2.5, "effect": "idempotent"}
+        own = [page | {"aimStretch": 1.0, "value": 2.0}]
+        await f.r.front("odd", f.caches, "stop", categories=own)
+        await f.r.serving("odd")
+        traffic = f.traffic("f0", "f1", "odd")
+        past = await f.r.change(2, categories=[{"name": "page", "onTime": 0.3, "deadline": 2.5,
+                                                "effect": "idempotent"}])  # fmt: skip
+        assert past.outcome is Outcome.WITHDRAWN
+        assert past.reasons == ("odd: 'settings.categories[0].aimStretch' is missing",)
+        after = anyio.current_time()
+        for name in ("f0", "f1"):
+            await f.r.until("all go on", partial(traffic.served, name, 1))
+        assert {a.mark for a in traffic.history if a.kind == "served" and a.front != "odd"} == {1}
+        late = partial(traffic.since, "odd", after)
+        await f.r.until("the odd one goes on", lambda: "served" in {a.kind for a in late()})
+
+
+async def test_too_few_fronts_that_answer_change_nothing(tmp_path: Path) -> None:
+    async with fleet(tmp_path) as f:
+        for name in ("f1", "f2"):
+            f.r.processes[name].stop()
+        past = await f.r.change(2)
+        assert past.outcome is Outcome.WITHDRAWN
+        assert past.reasons == ("only 1 of 3 fronts answered",) and past.absent == ("f1", "f2")
+        for name in ("f1", "f2"):
+            f.r.processes[name].go_on()
+        traffic = f.traffic()
+        await f.everywhere(traffic, 1)
+
+
+async def test_of_two_commands_at_once_one_wins_and_the_other_is_told(tmp_path: Path) -> None:
+    async with fleet(tmp_path, fronts=1) as f:
+        said: list[tuple[int, str]] = []
+
+        async def propose(mark: int) -> None:
+            said.append(await f.r.propose(mark))
+
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(propose, 2)
+            tasks.start_soon(propose, 3)
+        won = [version for version, _ in said if version]
+        lost = [why for version, why in said if not version]
+        assert len(won) == 1 and len(lost) == 1 and ("came first" in lost[0] or "under way" in lost[0])
+        assert (await f.r.outcome(won[0])).outcome is Outcome.HELD
+
+
+def command(f: Fleet, *words: str) -> Process:
+    places = [f"--at={n}=127.0.0.1:{p}" for n, p in f.r.ports.items() if n.startswith("k")]
+    name = f"command-{len(f.r.processes)}"
+    folder = f.r.processes["k1"].folder.parent / name
+    folder.mkdir()
+    found = f.r.processes[name] = Process(name, folder, ["policy", "--group=test", *places, *words])
+    found.start()
+    return found
+
+
+async def test_commands_propose_follow_and_go_back(tmp_path: Path) -> None:
+    async with fleet(tmp_path, fronts=2) as f:
+        file = tmp_path / "two.json"
+        file.write_bytes(canonical({"settings": marked(2)}))
+        traffic = f.traffic()
+        propose = command(f, "propose", str(file), "--note", "second", "--author", "ana", "--json")
+        assert await propose.ended() == 0
+        lines = [json.loads(line) for line in propose.log_path.read_text().splitlines()]
+        assert lines[-1] == {"version": 2, "outcome": "held", "reasons": [], "absent": []}
+        await f.everywhere(traffic, 2)
+        for words, text in (
+            (("history",), "ana: second"),
+            (("diff", "1"), "settings.domain.freshFor"),
+            (("status",), "version 2"),
+            (("show",), "1002"),
+            (("check", str(file)), "0 keys differ from version 2"),
+        ):
+            said = command(f, *words)
+            assert await said.ended() == 0
+            assert text in said.log_path.read_text()
+        again = command(f, "propose", str(file), "--note", "late", "--base", "1")
+        assert await again.ended() == 1
+        assert "version 2 is in force, not 1" in again.log_path.read_text()
+        back = command(f, "back", "1")
+        assert await back.ended() == 0
+        await f.r.until("mark 1 again", lambda: all(traffic.history[-1 - n].mark == 1 for n in range(3)))
+        assert (await f.r.record()).version == 3
+
+
+@pytest.mark.parametrize("seed", range(2))
+async def test_a_command_that_is_killed_in_the_middle_leaves_no_change_half_made(
+    tmp_path: Path, seed: int
+) -> None:
+    async with fleet(tmp_path, fronts=2) as f:
+        file = tmp_path / "two.json"
+        file.write_bytes(canonical({"settings": marked(2)}))
+        traffic = f.traffic()
+        started = command(f, "propose", str(file), "--note", "killed")
+        await anyio.sleep(random.Random(seed).uniform(0.2, 0.9))  # anywhere in it
+        started.kill()
+
+        async def settled() -> bool:
+            return (await f.r.record()).open is None
+
+        await f.r.until("no change is open", settled)
+        record = await f.r.record()
+        await f.everywhere(traffic, 2 if record.version == 2 else 1)
+        traffic.judge()
+
+
+async def test_a_front_that_is_told_to_end_lets_go_and_holds_up_nobody(tmp_path: Path) -> None:
+    async with fleet(tmp_path) as f:
+        f.r.processes["f2"].send(signal.SIGTERM)
+        assert await f.r.processes["f2"].ended() == 0
+        began = anyio.current_time()
+        assert (await f.r.change(2)).absent == ("f2",)
+        assert anyio.current_time() - began < 1.4  # less than its lease, which nobody had to wait for
+
+
+async def test_a_front_that_is_killed_is_waited_for_while_all_others_serve(tmp_path: Path) -> None:
+    async with fleet(tmp_path) as f:
+        traffic = f.traffic("f0", "f1")
+        await f.everywhere(traffic, 1, "f0", "f1")
+        f.r.processes["f2"].kill()
+        assert (await f.r.change(2)).outcome is Outcome.HELD
+        await f.everywhere(traffic, 2, "f0", "f1")
+        traffic.judge()
+        assert pause(traffic) < 0.8  # less than the lease of the one that is gone
+
+
+async def test_two_processes_of_one_front_both_have_to_agree_and_to_let_go(tmp_path: Path) -> None:
+    async with fleet(tmp_path, fronts=1) as f:
+        old = f.r.processes["f0"]
+        new = f.r.processes["f0-new"] = Process("f0-new", tmp_path / "f0-new", [], old.environ)
+        new.folder.mkdir()
+        await f.r.start_front("f0-new")
+        await f.r.serving("f0-new")
+        f.fronts.append("f0-new")
+        traffic = f.traffic()
+        assert (await f.r.change(2)).outcome is Outcome.HELD
+        await f.everywhere(traffic, 2)
+        old.stop()
+        assert (await f.r.change(3)).outcome is Outcome.HELD
+        await f.everywhere(traffic, 3, "f0-new")
+        old.go_on()
+        await f.everywhere(traffic, 3)
+        traffic.history = [
+            a for a in traffic.history if a.front != "f0" or a.mark != 2
+        ]  # taken before it slept
+        traffic.judge()
+
+
+@pytest.mark.parametrize("cut_off", ["stop", "go_on"])
+async def test_without_a_majority_of_keepers_fronts_stop_or_go_on_as_their_file_says(
+    tmp_path: Path, cut_off: str
+) -> None:
+    async with fleet(tmp_path, fronts=2, cut_off=cut_off) as f:
+        traffic = f.traffic()
+        await f.everywhere(traffic, 1)
+        for name in ("k1", "k2"):
+            f.r.processes[name].kill()
+        cut = anyio.current_time()
+
+        def late() -> list[str]:
+            return [a.kind for a in traffic.history if a.began > cut + 2.0]
+
+        await f.r.until("a lease is over", lambda: len(late()) > 20)
+        assert set(late()) == {"Throttled" if cut_off == "stop" else "served"}
+        with pytest.raises((NoAnswer, Open)):
+            await f.r.propose(2)
+        await f.r.start("k1")
+        await f.r.insist(3)
+        await f.everywhere(traffic, 3)
+        traffic.judge()
+
+
+async def test_a_change_while_all_fronts_are_restarted_one_after_the_other(tmp_path: Path) -> None:
+    async with fleet(tmp_path, fronts=4) as f:
+        traffic = f.traffic()
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(f.r.change, 2)
+            for name in f.fronts:
+                f.r.processes[name].kill()
+                await f.r.start_front(name)
+        await f.r.insist(3)
+        await f.everywhere(traffic, 3)
+        traffic.judge()
--- a/zincladder/__main__.py
+++ b/zincladder/__main__.py
@@ -12,8 +12,7 @@
 import logging
 import os
 import signal
-from collections import Counter
-from collections.abc import Callable, Iterator
+from collections.abc import Iterator
 from dataclasses import asdict, dataclass
 from functools import partial
 from typing import TYPE_CHECKING
@@ -26,8 +25,8 @@
 from zincladder import interface as api
 from zincladder.admission.gate import Admission, Bounds, Gate
 from zincladder.admission.ledger import PLAIN, SHARED, Ledger
-from zincladder.admission.model import Limits
 from zincladder.admission.plain import Plain
+from zincladder.config.reload import Reload
 from zincladder.core.classes import Classes
 from zincladder.core.engine import Clock, Core
 from zincladder.handover.host import Handover
@@ -35,10 +34,11 @@
 from zincladder.net.clients import Clients
 from zincladder.net.door import listener
 from zincladder.net.feed import Feed, Listed, News, known_news
-from zincladder.net.sparing import Sparing
+from zincladder.sparing import Sparing
 
 if TYPE_CHECKING:
     from zincladder.export.sender import RemoteWrite
+    from zincladder.policy.front import FleetPolicy
 if sys.modules["rich"] is None:
     del sys.modules["rich"]
 FLUSH = 0.5  # seconds after the last answer for the last samples to be sent
@@ -61,46 +61,6 @@
     core.listed(kind, news.version, tuple(member for member, _ in news.members))
 
 
-class Reload:
-    """The configuration in force: as last read, and shared with the other processes of this front."""
-
-    def __init__(self, config: configuration.Config) -> None:
-        self._config, self.processes = config, 1
-        self.parts: list[Callable[[configuration.Config], None]] = []
-        self.limits: Callable[[Limits], None] | None = None  # admission's, where it takes other ones
-        self.counts: Counter[tuple[str, str]] = Counter()  # the core's
-
-    def __call__(self) -> None:
-        """Guards a running front against a file that cannot be used: it goes on with what it has, whole."""
-        try:
-            config, waiting = configuration.renewed(self._config, configuration.load())
-            operator = configuration.load_operator(config.names)
-        except configuration.ConfigError as fault:
-            self.counts["reloads", "rejected"] += 1
-            log.error("bad configuration, the old one is kept", why=str(fault))
-            return
-        if bool(self.limits) != bool(operator.admission):
-            waiting.append("admission")
-        if waiting:
-            log.warning("keys that take effect at the next start only", keys=waiting)
-        self._config = config
-        self._apply()
-        if self.limits and operator.admission:
-            self.limits(operator.admission)
-        self.counts["reloads", "applied"] += 1
-        log.info("configuration read again", coordinator=config.coordinator, classes=config.names.classes)
-
-    def share(self, processes: int) -> None:
-        """So many processes of this front run from now on."""
-        self.processes = processes
-        self._apply()
-
-    def _apply(self) -> None:
-        config = configuration.shared(self._config, self.processes)
-        for apply in self.parts:
-            apply(config)
-
-
 async def run(config: configuration.Config, operator: configuration.Operator) -> None:
     """Runs a front; SIGTERM ends it in order, and what was taken is answered first. SIGHUP reloads."""
     stopping, reload = anyio.Event(), Reload(config)
@@ -173,6 +133,7 @@
     feed: Feed | None = None
     where_dns = where_metrics = where_control = None
     pushes: list[RemoteWrite] = []
+    policy: FleetPolicy | None = None
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(clients.stop, stopping)
         tasks.start_soon(caches.run)
@@ -190,6 +151,11 @@
         if handover:
             clients.succeeded = lambda: handover.companions.succeeded
             tasks.start_soon(handover.run, clients.listener)
+        if operator.policy:
+            from zincladder.policy.wiring import follow_policy
+
+            policy = follow_policy(operator.policy, config, reload, core)
+            tasks.start_soon(policy.run)
         if config.control:
             from zincladder.control.address import OperatorAddress
             from zincladder.control.calls import Calls
@@ -199,6 +165,7 @@
             readiness = Readiness(
                 clock.now(), core.ready, lambda: feed is None or feed.heard, lambda: clients.stopping
             )
+            readiness.more = policy.lacks if policy else readiness.more
             calls = Calls(lambda: readiness.lacks(clock.now()), partial(figures, core))
             operators = OperatorAddress(listener(config.control), calls, admission.ledger, Sparing().warning)
             where_control = operators.address
@@ -258,6 +225,8 @@
         async with anyio.create_task_group() as flushing:
             for push in pushes:
                 flushing.start_soon(push.finish, FLUSH)
+            if policy:
+                flushing.start_soon(policy.end, FLUSH)
         tasks.cancel_scope.cancel()
     log.info("ended", answers={k[1]: n for k, n in core.counts.items() if k[0] == "answers"})
 
--- /dev/null
+++ b/zincladder/agreement/calls.py
@@ -0,0 +1,106 @@
+"""What fronts and operators ask of a keeper over a link, and what they are told. Shapes only."""
+
+from __future__ import annotations
+
+import msgspec
+
+from zincladder.agreement.registers import Full, Missed, Swap, Swapped, Value
+
+
+class Status(msgspec.Struct, frozen=True, array_like=True, tag="status"):
+    """How this keeper stands; answered by whoever is asked, from what it knows."""
+
+
+class Get(msgspec.Struct, frozen=True, array_like=True, tag="get"):
+    """All registers whose keys begin so, no older than the question."""
+
+    prefix: str
+
+
+class Change(msgspec.Struct, frozen=True, array_like=True, tag="change"):
+    """One member added, with its address, or removed."""
+
+    add: dict[str, str] = {}
+    remove: str = ""
+
+
+class HandOver(msgspec.Struct, frozen=True, array_like=True, tag="hand_over"):
+    """The leader is to let another lead."""
+
+
+class Progress(msgspec.Struct, frozen=True, array_like=True, tag="progress"):
+    """How the work that the leader does for the fleet is coming on."""
+
+
+What = Status | Get | Swap | Change | HandOver | Progress
+
+
+class Call(msgspec.Struct, frozen=True, array_like=True):
+    """A question; its number comes back with the answer."""
+
+    number: int
+    what: What
+
+
+class Standing(msgspec.Struct, frozen=True, array_like=True, tag="standing"):
+    """How a keeper stands. A leader also tells what each other one has stored, and who is silent."""
+
+    name: str
+    role: str
+    leader: str
+    term: int
+    commit: int
+    last: int
+    base: int
+    voters: dict[str, str]
+    learners: dict[str, str]
+    stored: dict[str, int]
+    silent: list[str]
+    older: list[str]
+    registers: int
+    bytes_kept: int
+
+
+class Found(msgspec.Struct, frozen=True, array_like=True, tag="found"):
+    """The answer to `Get`."""
+
+    values: dict[str, Value]
+
+
+class Moved(msgspec.Struct, frozen=True, array_like=True, tag="moved"):
+    """Another leads, or nobody that is known: nothing was done."""
+
+    leader: str
+    where: str
+
+
+class Failed(msgspec.Struct, frozen=True, array_like=True, tag="failed"):
+    """Nothing was done; the text says why."""
+
+    why: str
+
+
+class Unknown(msgspec.Struct, frozen=True, array_like=True, tag="unknown"):
+    """It may have been done, or may still be: read again to know."""
+
+    why: str
+
+
+class Told(msgspec.Struct, frozen=True, array_like=True, tag="told"):
+    """The answer to `Progress`: JSON."""
+
+    data: bytes
+
+
+class Done(msgspec.Struct, frozen=True, array_like=True, tag="done"):
+    """It was done."""
+
+
+Said = Standing | Found | Told | Swapped | Missed | Full | Moved | Failed | Unknown | Done
+
+
+class Answer(msgspec.Struct, frozen=True, array_like=True):
+    """The answer to the call with this number."""
+
+    number: int
+    what: Said
--- /dev/null
+++ b/zincladder/agreement/registers.py
@@ -0,0 +1,100 @@
+"""The state that a group keeps: named values, each changed only from a version that its writer has seen.
+
+No I/O. This is all that policies, owners and their work need of a group: compare and swap, and reading. A
+value's version is the index of the entry that wrote it, so it rises with each write of any value and is never
+given twice, not even after the value was removed: a version serves as a fencing token.
+"""
+
+from __future__ import annotations
+
+import msgspec
+
+MOST_KEYS = 4096
+MOST_KEY = 200  # bytes
+MOST_VALUE = 256 << 10  # bytes
+MOST_ALL = 7 << 20  # bytes: a snapshot has to fit a record and a member's memory
+
+
+class Value(msgspec.Struct, frozen=True, array_like=True):
+    """What a register holds, and the version that a swap of it has to name."""
+
+    version: int
+    data: bytes
+
+
+class Swap(msgspec.Struct, frozen=True, array_like=True, tag="swap"):
+    """Sets a register if it has this version; 0 where there is none. None as data removes it."""
+
+    key: str
+    expected: int
+    data: bytes | None
+
+
+class Swapped(msgspec.Struct, frozen=True, array_like=True, tag="swapped"):
+    """It was done; the version that the register has now."""
+
+    version: int
+
+
+class Missed(msgspec.Struct, frozen=True, array_like=True, tag="missed"):
+    """Another write came before; the version that stands."""
+
+    version: int
+
+
+class Full(msgspec.Struct, frozen=True, array_like=True, tag="full"):
+    """There is no room: the text says of what."""
+
+    why: str
+
+
+Result = Swapped | Missed | Full
+
+
+class Registers:
+    """The same at each member that has applied the same entries."""
+
+    def __init__(self, state: bytes = b"") -> None:
+        self._values: dict[str, Value] = {}
+        if state:
+            self._values = msgspec.msgpack.decode(state, type=dict[str, Value])
+        self.size = sum(len(k) + len(v.data) for k, v in self._values.items())
+
+    def __len__(self) -> int:
+        return len(self._values)
+
+    def get(self, key: str) -> Value | None:
+        return self._values.get(key)
+
+    def under(self, prefix: str) -> dict[str, Value]:
+        """All registers whose keys begin so, in order of their keys."""
+        return {k: v for k, v in sorted(self._values.items()) if k.startswith(prefix)}
+
+    def apply(self, index: int, data: bytes) -> Result:
+        """One entry. Whatever it holds, each member comes to the same result."""
+        try:
+            swap: Swap = msgspec.msgpack.decode(data, type=Swap)
+        except (msgspec.DecodeError, UnicodeDecodeError) as fault:
+            return Full(f"no swap: {fault}")
+        old = self._values.get(swap.key)
+        standing = old.version if old else 0
+        if swap.expected != standing:
+            return Missed(standing)
+        weight = len(swap.key) + len(old.data) if old else 0
+        if swap.data is None:
+            self._values.pop(swap.key, None)
+            self.size -= weight
+            return Swapped(index)
+        if len(swap.key) > MOST_KEY or len(swap.data) > MOST_VALUE:
+            return Full(f"a key has {MOST_KEY} bytes and a value {MOST_VALUE} at most")
+        if old is None and len(self._values) >= MOST_KEYS:
+            return Full(f"{MOST_KEYS} registers at most")
+        grown = self.size - weight + len(swap.key) + len(swap.data)
+        if grown > MOST_ALL:
+            return Full(f"{MOST_ALL} bytes at most in all registers")
+        self._values[swap.key], self.size = Value(index, swap.data), grown
+        return Swapped(index)
+
+    def dump(self) -> bytes:
+        """The state for a snapshot, the same bytes at each member."""
+        return msgspec.msgpack.encode(dict(sorted(self._values.items())))
--- a/zincladder/cli/__init__.py
+++ b/zincladder/cli/__init__.py
@@ -12,6 +12,8 @@
 
 from zincladder.cli.admission import admission
 from zincladder.cli.day import ready, stats
+from zincladder.cli.keep import keep, keepers
+from zincladder.cli.policy import policy
 
 
 @click.group(context_settings={"help_option_names": ["-h", "--help"]})
@@ -60,5 +62,5 @@
     sys.exit(0 if good else 1)
 
 
-for command in (admission, ready, stats):
+for command in (admission, keep, keepers, policy, ready, stats):
     main.add_command(command)
--- /dev/null
+++ b/zincladder/cli/keep.py
@@ -0,0 +1,263 @@
+"""`zincladder keep` and `zincladder keepers`: the processes that keep what a fleet agrees on."""
+
+from __future__ import annotations
+
+import functools
+import json
+import sys
+import tomllib
+from functools import partial
+from pathlib import Path
+from typing import Any
+
+import click
+
+from zincladder.config import ConfigError
+from zincladder.config.keeper import KeeperConfig, keeper_of
+
+ASIDE = 1.0  # seconds for another to take the lead, at an orderly end
+
+
+def read_keeper(path: Path) -> KeeperConfig:
+    """A keeper's file; a ClickException names its fault."""
+    try:
+        return keeper_of(tomllib.loads(path.read_text()))
+    except (OSError, ValueError, ConfigError) as fault:
+        raise click.ClickException(f"{path}: {fault}") from None
+
+
+@click.command()
+@click.argument("file", type=click.Path(path_type=Path))
+def keep(file: Path) -> None:
+    """Run a keeper in the foreground, as FILE says. SIGTERM ends it; its directory holds what it promised.
+
+    Exits with 1 if the directory cannot be used or fails: a keeper that can't write has no vote.
+    """
+    import logging
+
+    import structlog
+
+    from zincladder.durable.journal import JournalError
+
+    structlog.configure(
+        processors=[
+            structlog.processors.add_log_level,
+            structlog.processors.TimeStamper(fmt="iso", utc=True),
+            structlog.processors.format_exc_info,
+            structlog.processors.JSONRenderer(),
+        ],
+        wrapper_class=structlog.make_filtering_bound_logger(logging.INFO),
+        logger_factory=structlog.PrintLoggerFactory(sys.stderr),
+    )
+    config = read_keeper(file)
+    import anyio
+
+    try:
+        anyio.run(_keep, config)
+    except* (JournalError, OSError) as faults:
+        structlog.get_logger().error("the keeper ends", why=str(_first(faults)))
+        sys.exit(1)
+
+
+def _first(faults: BaseExceptionGroup[Any]) -> BaseException:
+    fault: BaseException = faults
+    while isinstance(fault, BaseExceptionGroup):
+        fault = fault.exceptions[0]
+    return fault
+
+
+async def _keep(config: KeeperConfig) -> None:
+    import signal
+
+    import anyio
+    import structlog
+
+    from zincladder.agreement.host import Keeper
+    from zincladder.agreement.model import Members
+    from zincladder.agreement.store import Store
+    from zincladder.policy.host import Conducting
+    from zincladder.policy.model import Terms
+
+    store = Store(config.directory, config.group, config.name, Members(config.founders))
+    try:
+        keeper, lease = Keeper(config, store), config.lease
+        terms = Terms(lease.seconds, lease.renew_s, lease.drift, lease.check_s, lease.clear_s, lease.least)
+        conducting = Conducting(keeper, terms)
+        with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+            async with anyio.create_task_group() as tasks:
+                await tasks.start(keeper.run)
+                tasks.start_soon(conducting.run)
+                async for _ in signals:
+                    break
+                await keeper.step_aside(ASIDE)
+                tasks.cancel_scope.cancel()
+    finally:
+        store.close()
+    structlog.get_logger().info("ended", entries=keeper.applied)
+
+
+def group_options(command: Any) -> Any:
+    """--file, or --group with --at: which keepers to ask. `group` is their name and addresses."""
+
+    @functools.wraps(command)
+    def wrapped(*args: Any, file: Path | None, at: tuple[str, ...], group: str | None, **more: Any) -> Any:
+        if file is not None:
+            config = read_keeper(file)
+            found = (config.group, config.founders | config.via)
+        elif group and at:
+            found = (group, dict(place.partition("=")[::2] for place in at))
+        else:
+            raise click.UsageError("give --file, or --group with one --at or more")
+        return command(*args, group=found, **more)
+
+    for option in (
+        click.option("--group", help="The group's name, with --at."),
+        click.option("--at", multiple=True, metavar="NAME=ADDRESS", help="A keeper; instead of a file."),
+        click.option("--file", type=click.Path(path_type=Path), help="The file of any keeper of the group."),
+    ):
+        wrapped = option(wrapped)
+    return wrapped
+
+
+@click.group()
+@group_options
+@click.pass_context
+def keepers(context: click.Context, group: tuple[str, dict[str, str]]) -> None:
+    """Who keeps a fleet's state: who leads, how far each one is, and who belongs to the group."""
+    context.obj = group
+
+
+def asking(context: tuple[str, dict[str, str]]) -> Any:
+    """A client of the group."""
+    from zincladder.agreement.client import Client
+
+    return Client(*context, name="keepers")
+
+
+def run_call(call: Any) -> Any:
+    """What an async call returns; a ClickException says whether nothing, or perhaps something, was done."""
+    import anyio
+
+    from zincladder.agreement.client import NoAnswer, Open
+
+    try:
+        return anyio.run(call)
+    except NoAnswer as fault:
+        raise click.ClickException(f"nothing was done: {fault}") from None
+    except Open as fault:
+        raise click.ClickException(f"it may have been done, ask again: {fault}") from None
+
+
+@keepers.command()
+@click.option("--json", "as_json", is_flag=True, help="Print JSON instead of a table.")
+@click.pass_obj
+def status(context: tuple[str, dict[str, str]], as_json: bool) -> None:
+    """Ask each keeper how it stands. Exits with 1 if none of them leads."""
+    from zincladder.agreement import calls
+    from zincladder.links.host import FAILED
+
+    async def all_of_them() -> dict[str, Any]:
+        import anyio
+
+        client, found = asking(context), {}
+
+        async def one(name: str, where: str) -> None:
+            try:
+                found[name] = await client.ask_at(where, calls.Status(), 2.0)
+            except FAILED as fault:
+                found[name] = str(fault) or "no answer"
+
+        async with anyio.create_task_group() as tasks:
+            for name, where in context[1].items():
+                tasks.start_soon(one, name, where)
+        return dict(sorted(found.items()))
+
+    found = run_call(all_of_them)
+    standing = {n: s for n, s in found.items() if isinstance(s, calls.Standing)}
+    leading = [s for s in standing.values() if s.role == "leader"]
+    leader = max(leading, key=lambda s: s.term, default=None)
+    if as_json:
+        from msgspec.structs import asdict
+
+        click.echo(json.dumps({n: asdict(s) if n in standing else {"error": s} for n, s in found.items()}))
+    else:
+        from rich.console import Console
+
+        Console().print(_table(context[0], found, standing, leader))
+    sys.exit(0 if leader else 1)
+
+
+def _table(group: str, found: dict[str, Any], standing: dict[str, Any], leader: Any) -> Any:
+    from rich.table import Table
+
+    title = f"{group}: {leader.name} leads in term {leader.term}" if leader else f"{group}: nobody leads"
+    table = Table(title=title)
+    for column in ("keeper", "role", "term", "entries", "behind", "kept_kb", "note"):
+        table.add_column(
+            column.replace("_", " "), justify="left" if column in ("keeper", "role", "note") else "right"
+        )
+    members = (leader.voters | leader.learners) if leader else {}
+    for name in sorted(found.keys() | members.keys()):
+        s = standing.get(name)
+        notes = []
+        if leader and name not in members:
+            notes.append("no member")
+        if leader and name in leader.learners:
+            notes.append("learns, has no vote yet")
+        if leader and name in leader.older:
+            notes.append("came back with an older directory: remove it, and add it anew")
+        if leader and name in leader.silent:
+            notes.append("silent")
+        if s is None:
+            table.add_row(
+                name, "?", "", "", "", "", "; ".join([*notes, str(found.get(name, "not asked"))]), style="red"
+            )
+            continue
+        behind = str(max(0, leader.commit - s.commit)) if leader else ""
+        table.add_row(
+            name, s.role, str(s.term), str(s.last), behind, f"{s.bytes_kept / 1024:.0f}", "; ".join(notes)
+        )
+    return table
+
+
+def _do(context: tuple[str, dict[str, str]], what: Any) -> None:
+    from zincladder.agreement import calls
+
+    said = run_call(partial(asking(context).ask, what))
+    if isinstance(said, calls.Unknown):
+        raise click.ClickException(f"it may have been done, look at the status: {said.why}")
+    if not isinstance(said, calls.Done):
+        raise click.ClickException(f"nothing was done: {getattr(said, 'why', said)}")
+
+
+@keepers.command()
+@click.argument("name")
+@click.argument("address")
+@click.pass_obj
+def add(context: tuple[str, dict[str, str]], name: str, address: str) -> None:
+    """Add the keeper NAME, which runs at ADDRESS with an empty directory. It votes once it has the log."""
+    from zincladder.agreement import calls
+
+    _do(context, calls.Change(add={name: address}))
+    click.echo(f"{name} was added and takes the log in")
+
+
+@keepers.command()
+@click.argument("name")
+@click.pass_obj
+def remove(context: tuple[str, dict[str, str]], name: str) -> None:
+    """Remove the keeper NAME. One that comes back under the name needs an empty directory."""
+    from zincladder.agreement import calls
+
+    _do(context, calls.Change(remove=name))
+    click.echo(f"{name} was removed")
+
+
+@keepers.command("hand-over")
+@click.pass_obj
+def hand_over(context: tuple[str, dict[str, str]]) -> None:
+    """Let another keeper lead, as before work on the machine of the one that does."""
+    from zincladder.agreement import calls
+
+    _do(context, calls.HandOver())
+    click.echo("the leader hands over")
--- a/zincladder/config/__init__.py
+++ b/zincladder/config/__init__.py
@@ -315,6 +315,15 @@
     replay_bytes_per_s: float = 1e6
 
 
+@dataclass(frozen=True, slots=True)
+class PolicyConfig:
+    """Where a front learns the policy of its fleet, and whether it goes on without it once it is cut off."""
+
+    group: str
+    keepers: dict[str, str]
+    go_on: bool = False
+
+
 @dataclass(frozen=True, slots=True)
 class Operator:
     """The operator's file: all that is off without it."""
@@ -324,6 +333,7 @@
     remote_write: tuple[RemoteWriteConfig, ...] = ()
     admission: Limits | None = None
     control: str | None = None  # the path of the unix socket that operators' commands use
+    policy: PolicyConfig | None = None
 
 
 def read_operator(path: str | Path) -> dict[str, Any]:
--- /dev/null
+++ b/zincladder/config/keeper.py
@@ -0,0 +1,107 @@
+"""A keeper's file: its checks and defaults. Imported by the commands only."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Annotated, Any, TypeVar
+
+import msgspec
+from msgspec import Meta
+
+from zincladder.config import Address, ConfigError, address
+from zincladder.config.operator import fault_at
+
+T = TypeVar("T")
+Name = Annotated[str, Meta(pattern=r"^[0-9A-Za-z_.-]{1,64}$")]
+Place = Annotated[str, Meta(min_length=3)]
+
+
+class LeaseTable(msgspec.Struct, forbid_unknown_fields=True):
+    """[lease]"""
+
+    seconds: Annotated[float, Meta(ge=0.5, le=3600)] = 5.0
+    renew_s: Annotated[float, Meta(ge=0.05, le=600)] = 1.0
+    drift: Annotated[float, Meta(ge=0.0001, le=0.2)] = 0.01
+    check_s: Annotated[float, Meta(ge=0.1, le=600)] = 3.0
+    clear_s: Annotated[float, Meta(ge=0.02, le=60)] = 0.3
+    least: Annotated[float, Meta(ge=0, lt=1)] = 0.5
+
+
+class KeeperTable(msgspec.Struct, forbid_unknown_fields=True):
+    """[keeper]"""
+
+    group: Name
+    name: Name
+    listen: Place
+    directory: Annotated[str, Meta(min_length=1)]
+    members: dict[Name, Place] = {}
+    via: dict[Name, Place] = {}
+    heartbeat_ms: Annotated[float, Meta(ge=5, le=10_000)] = 100.0
+    election_ms: Annotated[float, Meta(ge=50, le=60_000)] = 1000.0
+
+
+@dataclass(frozen=True, slots=True)
+class KeeperConfig:
+    """One of the processes that keep a group's state.
+
+    `founders` are the members, with their addresses, that the group begins with; none for a keeper that will
+    be added to a group that runs. `via` goes before the addresses of others where this process reaches them
+    by another one. Times in seconds.
+    """
+
+    group: str
+    name: str
+    listen: Address
+    directory: Path
+    founders: dict[str, str]
+    via: dict[str, str]
+    heartbeat: float
+    election: float
+    lease: LeaseTable
+
+
+def _place(text: str, key: str) -> Address:
+    try:
+        return address(text)
+    except ValueError:
+        raise ConfigError(f"'{key}' must be an address like 127.0.0.1:7300, not {text[:40]!r}") from None
+
+
+def _read(data: dict[str, Any], name: str, kind: type[T]) -> T:
+    try:
+        return msgspec.convert(data.get(name, {}), kind)
+    except msgspec.ValidationError as fault:
+        path, said = fault_at(fault, name)
+        raise ConfigError(f"'{path}': {said}") from None
+
+
+def keeper_of(data: dict[str, Any]) -> KeeperConfig:
+    """The configuration from its parsed TOML; ConfigError names the first key that cannot be used."""
+    for name in data:
+        if name not in ("keeper", "lease"):
+            raise ConfigError(f"'{name}': there is no such table, only keeper and lease")
+    table = _read(data, "keeper", KeeperTable)
+    lease = _read(data, "lease", LeaseTable)
+    if lease.seconds < 3 * lease.renew_s:
+        raise ConfigError("'lease.seconds' must be at least three times 'renew_s'")
+    for key, places in (("members", table.members), ("via", table.via)):
+        for name, where in places.items():
+            _place(where, f"keeper.{key}.{name}")
+    if table.members and table.name not in table.members:
+        raise ConfigError(f"'keeper.members' must name this keeper too, {table.name!r}")
+    if len(table.members) not in (0, 1, 3, 5, 7):
+        raise ConfigError("'keeper.members' must be 1, 3, 5 or 7 keepers: one more than that adds no safety")
+    if table.election_ms < 4 * table.heartbeat_ms:
+        raise ConfigError("'keeper.election_ms' must be at least four times 'heartbeat_ms'")
+    return KeeperConfig(
+        table.group,
+        table.name,
+        _place(table.listen, "keeper.listen"),
+        Path(table.directory),
+        table.members,
+        table.via,
+        table.heartbeat_ms / 1000,
+        table.election_ms / 1000,
+        lease,
+    )
--- a/zincladder/config/operator.py
+++ b/zincladder/config/operator.py
@@ -6,7 +6,7 @@
 from __future__ import annotations
 
 import re
-from typing import Annotated, Any, TypeVar
+from typing import Annotated, Any, Literal, TypeVar
 from urllib.parse import urlsplit
 
 import msgspec
@@ -21,6 +21,7 @@
     Host,
     Names,
     Operator,
+    PolicyConfig,
     RemoteWriteConfig,
     address,
 )
@@ -75,6 +76,14 @@
     socket: Annotated[str, Meta(min_length=1, max_length=100)]  # sockaddr_un holds 108 bytes
 
 
+class PolicyTable(msgspec.Struct, forbid_unknown_fields=True):
+    """[policy]"""
+
+    group: Annotated[str, Meta(min_length=1, max_length=64)]
+    keepers: dict[str, str]
+    cut_off: Literal["stop", "go_on"] = "stop"
+
+
 class NetworkTable(msgspec.Struct, forbid_unknown_fields=True):
     """[[admission.network]]"""
 
@@ -116,12 +125,13 @@
     "remote_write": RemoteWriteTable,
     "admission": AdmissionTable,
     "control": ControlTable,
+    "policy": PolicyTable,
 }
 AT = re.compile(r" - at `\$(.*)`$")
 FIELD = re.compile(r"Object (?:missing required|contains unknown) field `([^`]*)`")
 
 
-def _fault(fault: msgspec.ValidationError, table: str) -> tuple[str, str]:
+def fault_at(fault: msgspec.ValidationError, table: str) -> tuple[str, str]:
     """The path of the faulty key and what is wrong with it."""
     text = str(fault)
     at = AT.search(text)
@@ -139,7 +149,7 @@
     try:
         return msgspec.convert(data[name], kind)
     except msgspec.ValidationError as fault:
-        path, said = _fault(fault, name)
+        path, said = fault_at(fault, name)
         raise ConfigError(f"'{path}': {said}") from None
 
 
@@ -250,6 +260,14 @@
     )
 
 
+def _policy(table: PolicyTable) -> PolicyConfig:
+    if not table.keepers:
+        raise ConfigError("'policy.keepers' must name the keepers of the group")
+    for name, where in table.keepers.items():
+        _address(where, f"policy.keepers.{name}")
+    return PolicyConfig(table.group, table.keepers, table.cut_off == "go_on")
+
+
 def operator_of(data: dict[str, Any], names: Names | None) -> Operator:
     """The operator's configuration from its parsed TOML; ConfigError names the first key that cannot be
     used.
@@ -262,12 +280,14 @@
     remote_write = _receivers(data)
     admission = _table(data, "admission", AdmissionTable)
     control = _table(data, "control", ControlTable)
+    policy = _table(data, "policy", PolicyTable)
     return Operator(
         _dns(dns, names) if dns else None,
         _address(metrics.listen, "metrics.listen") if metrics else None,
         remote_write,
         _admission(admission) if admission and admission.enabled else None,
         control.socket if control else None,
+        _policy(policy) if policy else None,
     )
 
 
--- a/zincladder/control/readiness.py
+++ b/zincladder/control/readiness.py
@@ -14,6 +14,7 @@
         self, since: float, ready: Callable[[], int], heard: Callable[[], bool], stopping: Callable[[], bool]
     ) -> None:
         self._since, self._ready, self._heard, self._stopping = since, ready, heard, stopping
+        self.more: Callable[[], str] = str  # of a part that is not always there
 
     def lacks(self, now: float) -> str:
         """What is missing; nothing when it is ready."""
@@ -23,4 +24,4 @@
             return "the list names no member that is ready"
         if not self._heard() and now - self._since < UNHEARD:
             return "the coordinator has not spoken yet"
-        return ""
+        return self.more()
--- a/zincladder/core/engine.py
+++ b/zincladder/core/engine.py
@@ -139,6 +139,8 @@
         self.figures = Figures()
         self.figures.keep_classes(self.classes.current, ())
         self.on_tick: Callable[[], None] | None = None  # a front's own look at the clock
+        # Seconds for which nothing new may be decided; 0 if it may. Asked at each request, never remembered.
+        self.hold_off: Callable[[], float] | None = None
         self.behind = 0.0  # seconds by which the event loop was late at its last two looks
         self._requests = 0
         self._timers: list[tuple[float, int]] = []
@@ -151,6 +153,9 @@
 
     async def serve(self, ask: Ask) -> Answer:
         """The life of one request, from its arrival to its one answer. Cancelling it: the client left."""
+        if self.hold_off is not None and (wait := self.hold_off()):
+            self.answered(ask.klass, "refused")
+            return Answer("refused", retry_after=wait)
         number = self._number()
         life = self.lives[number] = Life(ask)
         try:
@@ -230,6 +235,9 @@
 
         Nobody sees how it fares, so no outcome is told: the attempt ends as never sent, which it was not.
         """
+        if self.hold_off is not None and self.hold_off():
+            self.counts["steered", "refused"] += 1
+            return None
         number = self._number()
         chosen: api.MemberId | None = None
         for action in self._handle(self._request(number, ask)):
--- a/zincladder/dns/server.py
+++ b/zincladder/dns/server.py
@@ -17,8 +17,8 @@
 from zincladder.core.engine import Clock
 from zincladder.dns.answers import MOST_SIZE, Answers
 from zincladder.net.door import turn_away
-from zincladder.net.sparing import Sparing
 from zincladder.net.stream import Ended, Inbox, Outbox, family
+from zincladder.sparing import Sparing
 
 IDLE = 5.0  # of a TCP connection between queries, and for the rest of one
 BACKLOG = 64
--- a/zincladder/export/sender.py
+++ b/zincladder/export/sender.py
@@ -20,7 +20,7 @@
 from zincladder.export.delivery import Delivery, Fate, Next, Outcome, Rules, retry_after
 from zincladder.export.spool import Kept, MemoryStore, Spool, SpoolError
 from zincladder.metrics.registry import Sample
-from zincladder.net.sparing import Sparing
+from zincladder.sparing import Sparing
 
 LIMIT = 10.0  # seconds for one push
 MOST_ANSWER = 1 << 16
--- a/zincladder/export/spool.py
+++ b/zincladder/export/spool.py
@@ -12,7 +12,7 @@
 from dataclasses import dataclass
 from pathlib import Path
 
-from zincladder.export import records
+from zincladder.durable import records
 
 SEGMENT = re.compile(r"(\d{20})\.seg")
 SEGMENTS = 8  # of a full spool: what is dropped at its bound is one of them
@@ -111,7 +111,7 @@
                     self.foreign.append(path.name)
                 continue
             data = path.read_bytes()
-            first = records.first_of(data)
+            first = records.first_of(data, records.SPOOL)
             if first != int(name[1]) or first <= last:
                 # A front that was killed before the header was whole leaves this; else it's no segment of
                 # ours.
@@ -121,7 +121,7 @@
                     self.foreign.append(path.name)
                 continue
             whole, count = records.HEADER.size, 0
-            for record in records.scan(data):
+            for record in records.scan(data, records.SPOOL):
                 whole, count, last = record.at + record.size, count + 1, record.number
             if whole < len(data):
                 os.truncate(path, whole)  # what was being written when the process was killed
@@ -177,7 +177,7 @@
         path = self._path(self._next)
         file = os.open(path, os.O_RDWR | os.O_CREAT | os.O_TRUNC | os.O_CLOEXEC, 0o600)
         try:
-            header = records.segment_header(self._next)
+            header = records.segment_header(records.SPOOL, self._next)
             if os.pwrite(file, header, 0) < len(header):
                 raise OSError(28, "no space left on device")
         except OSError:
@@ -226,9 +226,9 @@
         wanted = self._done + 1
         first = max((f for f in self._sizes if f <= wanted), default=None)
         data = b"" if first is None else self._path(first).read_bytes()
-        for record in records.scan(data):
+        for record in records.scan(data, records.SPOOL):
             if record.number >= wanted:
-                self._ahead.append(Kept(record.number, record.unix_ms, record.payload))
+                self._ahead.append(Kept(record.number, record.stamp, record.payload))
         if not self._ahead or self._ahead[0].number != wanted:
             # Spoilt under us: what cannot be read is lost, and what follows goes on.
             following = min((f for f in self._sizes if f > wanted), default=self._next)
--- /dev/null
+++ b/zincladder/links/__init__.py
@@ -0,0 +1,1 @@
+"""Messages between the processes of one installation."""
--- a/zincladder/net/caches.py
+++ b/zincladder/net/caches.py
@@ -19,8 +19,8 @@
 from zincladder.core.ends import End, How
 from zincladder.core.engine import Order
 from zincladder.net import protocol
-from zincladder.net.sparing import Sparing
 from zincladder.net.stream import Ended, Entry, Inbox, Outbox, connect
+from zincladder.sparing import Sparing
 
 MOST_HEAD = 2048
 MOST_BODY = BODY
--- a/zincladder/net/clients.py
+++ b/zincladder/net/clients.py
@@ -24,8 +24,8 @@
 from zincladder.net import protocol, thrift
 from zincladder.net.door import Door
 from zincladder.net.protocol import BadFields
-from zincladder.net.sparing import Sparing
 from zincladder.net.stream import Ended, Inbox, Outbox
+from zincladder.sparing import Sparing
 
 OPEN_AT_MOST = 32  # requests on one connection, as the protocol says
 TAKEN_BACK_MOST = 64  # requests taken back before they began, with no answer between them
--- a/zincladder/net/door.py
+++ b/zincladder/net/door.py
@@ -19,8 +19,8 @@
 from zincladder.admission.gate import Admission, Gate
 from zincladder.admission.model import Decision, Seat, Verdict, Why
 from zincladder.config import Address
-from zincladder.net.sparing import Sparing
 from zincladder.net.stream import family
+from zincladder.sparing import Sparing
 
 TURN = 64  # connections taken before the other tasks have their turn
 SHORT = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)  # accept(2): the system has none to give
--- /dev/null
+++ b/zincladder/policy/front.py
@@ -0,0 +1,167 @@
+"""A front's side of a fleet's policy: its link to the leading keeper, and what it does with what it is told.
+
+On anyio. Loaded only where the operator's file has [policy].
+"""
+
+from __future__ import annotations
+
+import os
+import random
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import anyio
+import anyio.abc
+import structlog
+
+from zincladder.config import PolicyConfig, address
+from zincladder.links.frames import VERSION, Hello, Stranger
+from zincladder.links.host import FAILED, Link, Outbox, Patience, connect
+from zincladder.policy.holder import Holder
+from zincladder.policy.host import boottime
+from zincladder.policy.model import Elsewhere, FromKeeper
+
+MOST_WAITING = 64
+log = structlog.get_logger()
+
+
+@dataclass(frozen=True, slots=True)
+class Parts:
+    """What a front does with a policy: `check` tells why it can't take one, `apply` takes it."""
+
+    check: Callable[[bytes], tuple[str, ...]]
+    apply: Callable[[bytes], str]
+
+
+class FleetPolicy:
+    """One process of a front."""
+
+    def __init__(
+        self, config: PolicyConfig, name: str, parts: Parts, clock: Callable[[], float] = boottime
+    ) -> None:
+        self._config, self._parts, self._clock = config, parts, clock
+        self.holder = Holder(clock(), config.go_on)
+        self._hello = Hello(VERSION, config.group, "front", name, os.urandom(8).hex())
+        self._outbox = Outbox(MOST_WAITING)
+        self._due = anyio.Event()
+        self._random = random.Random(self._hello.birth)
+        self._said = ""
+        self.refused = 0
+
+    # Asked by the front ---------------------------------------------------------------------------
+
+    def hold_off(self) -> float:
+        """0 while this front may serve; else the seconds after which a client may come back."""
+        now = self._clock()
+        if self.holder.serving(now):
+            return 0.0
+        self.refused += 1
+        return self.holder.back_in(now)
+
+    def lacks(self) -> str:
+        """What keeps this front from serving; nothing if it may."""
+        holder = self.holder
+        if holder.serving(self._clock()):
+            return ""
+        for why in holder.failed.values():
+            return f"the fleet's policy can't be taken: {why}"
+        if not holder.version:
+            return "no policy of the fleet yet" if holder.linked else "no keeper has been reached yet"
+        changing, out = "the fleet's policy is changing", "the lease on the fleet's policy has run out"
+        return changing if holder.linked else out
+
+    # Running --------------------------------------------------------------------------------------
+
+    async def run(self) -> None:
+        """Holds a link to whoever leads until it is cancelled."""
+        patience = Patience(self._random.random)
+        names = list(self._config.keepers)
+        self._random.shuffle(names)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._renewing)
+            while True:
+                name = names[0]
+                names.append(names.pop(0))  # the next one, if this one does not lead
+                leader = ""
+                try:
+                    link, _ = await connect(address(self._config.keepers[name]), self._hello)
+                    try:
+                        leader = await self._linked(link, patience)
+                    finally:
+                        await link.close()
+                except* Stranger as faults:
+                    self._say(f"{name}: {faults.exceptions[0]}")
+                except* FAILED:
+                    pass
+                if leader in names:
+                    names.remove(leader)
+                    names.insert(0, leader)
+                    if leader != name:
+                        continue
+                await anyio.sleep(patience.wait())
+
+    def _say(self, why: str) -> None:
+        if why != self._said:  # once for each reason, however often it is tried
+            self._said = why
+            if why:
+                log.error("refused by a keeper", why=why)
+
+    async def _linked(self, link: Link, patience: Patience) -> str:
+        """Talks over one link until it fails; the leader's name if that is another one."""
+        self._outbox.clear()
+        self.holder.link(True, self._clock())
+        self._due.set()  # it may ask for a lease from now on
+        try:
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self._outbox.send_to, link)
+                self._pump()
+                leader = ""
+                while not leader:
+                    message: FromKeeper = await link.receive(FromKeeper)
+                    if isinstance(message, Elsewhere):
+                        leader = message.leader
+                        break
+                    patience.met()
+                    self._say("")
+                    self.holder.heard(message, self._clock())
+                    self._pump()
+                tasks.cancel_scope.cancel()
+        finally:
+            self.holder.link(False, self._clock())
+            self._due.set()
+        return leader
+
+    async def _renewing(self) -> None:
+        while True:
+            self._due = due = anyio.Event()
+            self.holder.tick(self._clock())
+            self._pump()
+            with anyio.move_on_after(max(0.0, self.holder.next_at - self._clock())):
+                await due.wait()
+
+    def _pump(self) -> None:
+        """Carries out what the holder wishes, until there is nothing more."""
+        while True:
+            wish = self.holder.take()
+            for message in wish.say:
+                self._outbox.put(message)
+            for check in wish.check:
+                self.holder.checked(check, self._parts.check(check.data))
+            for document, data in wish.apply:
+                why = self._parts.apply(data)
+                self.holder.took(document, why)
+                if why:
+                    log.error("the fleet's policy can't be taken", why=why)
+                else:
+                    log.info("the fleet's policy is taken", version=self.holder.version, document=document)
+            if not (wish.say or wish.check or wish.apply):
+                return
+            self._due.set()
+
+    async def end(self, patience: float) -> None:
+        """An orderly end: lets go, so that a change need not wait for this process's lease."""
+        self.holder.end()
+        self._pump()
+        with anyio.move_on_after(patience):
+            while self._outbox.waiting:
+                await anyio.sleep(0.005)
--- /dev/null
+++ b/zincladder/policy/model.py
@@ -0,0 +1,175 @@
+"""What a policy is, how far a change of it has come, and what fronts and keepers say to each other about it.
+
+Shapes only. A policy is one document, named by its content. `version` counts the policies of a group from 1;
+0 is none. Times in seconds.
+"""
+
+from __future__ import annotations
+
+import enum
+import hashlib
+
+import msgspec
+
+RECORD = "policy"  # the register that says what is in force
+DOCUMENTS = "document/"  # and those that hold what was ever proposed, by content
+TERMS = "terms"  # the register that holds the group's terms
+ROSTER = "front/"  # and those of the fronts that are expected to take part
+MOST_HISTORY = 100  # changes that the record tells of; documents that none of them names are removed
+MOST_REASONS = 20
+MOST_TEXT = 200  # letters of an author, a note or a reason
+
+
+def document_id(data: bytes) -> str:
+    """The name of a document: nobody can change what it stands for."""
+    return hashlib.sha256(data).hexdigest()[:32]
+
+
+class Phase(enum.StrEnum):
+    """How far the open change has come."""
+
+    CHECKING = "checking"  # the fronts are asked; it may still come to nothing
+    DECIDED = "decided"  # it will take hold; the old version is still in force
+    CLEARING = "clearing"  # the fronts let go of the old version, and nobody gets a new lease on it
+
+
+class Outcome(enum.StrEnum):
+    """What became of a change."""
+
+    HELD = "held"
+    WITHDRAWN = "withdrawn"
+
+
+class Change(msgspec.Struct, frozen=True, array_like=True):
+    """A change that is under way."""
+
+    version: int
+    document: str
+    author: str
+    note: str
+    at: float  # Unix time
+    phase: Phase = Phase.CHECKING
+
+
+class Past(msgspec.Struct, frozen=True, array_like=True):
+    """A change that has come to its end, with what stood in its way if anything did."""
+
+    version: int
+    document: str
+    author: str
+    note: str
+    at: float
+    outcome: Outcome
+    reasons: tuple[str, ...] = ()
+    absent: tuple[str, ...] = ()  # fronts that could not be asked
+
+
+class Record(msgspec.Struct, frozen=True, array_like=True):
+    """The register's value."""
+
+    version: int = 0
+    document: str = ""
+    open: Change | None = None
+    absent: tuple[str, ...] = ()  # fronts that could not be asked about the open change
+    history: tuple[Past, ...] = ()  # oldest first
+
+
+class Terms(msgspec.Struct, frozen=True, array_like=True):
+    """What all keepers of a group hold alike, so that a lease means one thing. A register has it.
+
+    `drift` bounds how far a clock runs off in a second. A front counts its lease from when it asked, by its
+    own clock, and a keeper from when it granted it, by its own: 1 - drift of it here, 1 + drift of it there.
+    """
+
+    lease: float = 5.0
+    renew: float = 1.0  # between two askings
+    drift: float = 0.01
+    check: float = 3.0  # a front's time to say whether it can take a policy
+    clear: float = 0.3  # the fronts' time to let go, before all go on under the old version for now
+    least: float = 0.5  # of the fronts that are known: more than this share has to agree
+
+    @property
+    def believed(self) -> float:
+        """How long a front relies on a lease."""
+        return self.lease * (1 - self.drift)
+
+    @property
+    def waited(self) -> float:
+        """How long a keeper waits for one that nobody gives back."""
+        return self.lease * (1 + self.drift)
+
+
+# From a front --------------------------------------------------------------------------------------
+
+
+class Renew(msgspec.Struct, frozen=True, array_like=True, tag="renew"):
+    """Asks for a lease. `document` is the policy that this front is ready to serve under."""
+
+    serial: int
+    document: str = ""
+
+
+class Checked(msgspec.Struct, frozen=True, array_like=True, tag="checked"):
+    """Whether this front could serve under a document: no reason against it is a yes."""
+
+    version: int
+    document: str
+    reasons: tuple[str, ...] = ()
+
+
+class Released(msgspec.Struct, frozen=True, array_like=True, tag="released"):
+    """This process serves under no version any more, and takes no lease that it asked for up to `serial`."""
+
+    version: int
+    serial: int
+
+
+class Fetch(msgspec.Struct, frozen=True, array_like=True, tag="fetch"):
+    """Asks for a document."""
+
+    document: str
+
+
+FromFront = Renew | Checked | Released | Fetch
+
+# From a keeper -------------------------------------------------------------------------------------
+
+
+class Granted(msgspec.Struct, frozen=True, array_like=True, tag="granted"):
+    """The lease that was asked for with this serial: for so long from the moment at which it was."""
+
+    serial: int
+    version: int
+    document: str
+    believed: float
+    renew: float
+
+
+class Check(msgspec.Struct, frozen=True, array_like=True, tag="check"):
+    """Asks whether a front could serve under a document."""
+
+    version: int
+    document: str
+    data: bytes
+
+
+class Release(msgspec.Struct, frozen=True, array_like=True, tag="release"):
+    """Asks a front to let go of a version now: another one waits for it."""
+
+    version: int
+
+
+class Delivered(msgspec.Struct, frozen=True, array_like=True, tag="delivered"):
+    """A document."""
+
+    document: str
+    data: bytes
+
+
+class Elsewhere(msgspec.Struct, frozen=True, array_like=True, tag="elsewhere"):
+    """This keeper does not lead."""
+
+    leader: str
+
+
+FromKeeper = Granted | Check | Release | Delivered | Elsewhere
