--- a/tests/processes.py
+++ b/tests/processes.py
@@ -125,6 +125,7 @@
     environ: dict[str, str] = field(default_factory=dict)
     popen: subprocess.Popen[bytes] | None = None
     lives: int = 0
+    stopped: bool = False
 
     @property
     def log_path(self) -> Path:
@@ -155,9 +156,11 @@
 
     def stop(self) -> None:
         self.send(signal.SIGSTOP)
+        self.stopped = True
 
     def go_on(self) -> None:
         self.send(signal.SIGCONT)
+        self.stopped = False
 
     def kill(self) -> None:
         if self.popen is not None:
@@ -252,11 +255,15 @@
 
     async def ready(self, name: str) -> str:
         """What a front says to READY."""
+        return (await self.told(name, b"READY\n")).strip()
+
+    async def told(self, name: str, line: bytes) -> str:
+        """What a front says at its operators' address; nothing if it doesn't answer."""
         try:
             async with await anyio.connect_tcp("127.0.0.1", self.controls[name]) as stream:
-                await stream.send(b"READY\n")
+                await stream.send(line)
                 with anyio.fail_after(2):
-                    return (await stream.receive()).decode().strip()
+                    return (await stream.receive()).decode()
         except (OSError, TimeoutError, anyio.EndOfStream):
             return ""
 
@@ -281,7 +288,7 @@
         return book.read(await self.client_of_keepers().get("")).record
 
     def client_of_keepers(self) -> Client:
-        return self.client(*(n for n in self.ports if n.startswith("k")))
+        return self.client(*(n for n in self.ports if n.startswith("k") and not self.processes[n].stopped))
 
     async def propose(self, mark: int, **settings: Any) -> tuple[int, str]:
         """Proposes a policy whose mark shows in each answer; its version, or 0 and why not."""
--- a/tests/test_policy_processes.py
+++ b/tests/test_policy_processes.py
@@ -111,6 +111,7 @@
         await f.r.start_front("f2")
         late = f.traffic("f2")
         await f.r.serving("f2")
+        assert "app.policy_version=2" in await f.r.told("f2", b"STATS\n")
         await f.everywhere(late, 2, "f2")
         assert {a.mark for a in late.history if a.kind == "served"} == {2}
         traffic.history += late.history
@@ -359,3 +360,47 @@
         await f.r.insist(3)
         await f.everywhere(traffic, 3)
         traffic.judge()
+
+
+async def test_sighup_of_a_key_that_the_policy_has_is_turned_down_by_name(tmp_path: Path) -> None:
+    async with fleet(tmp_path, fronts=1) as f:
+        await f.r.change(2, ceilings={"attemptsCap": 5})
+        traffic = f.traffic()
+        await f.everywhere(traffic, 2)
+        process, path = f.r.processes["f0"], tmp_path / "f0" / "config.json"
+        own = json.loads(path.read_text())
+        own["settings"]["ceilings"] |= {"attemptsCap": 7}
+        path.write_text(json.dumps(own))
+        process.send(signal.SIGHUP)
+        turned = "bad configuration, the old one is kept"
+        (said,) = await f.r.until("it is turned down", lambda: process.events(turned))
+        assert "'settings.ceilings.attemptsCap' is part of the fleet's policy" in said["why"]
+        own["settings"]["ceilings"] |= {"attemptsCap": 8, "maxRetryAfter": 0.7}
+        path.write_text(json.dumps(own))
+        process.send(signal.SIGHUP)
+        await f.r.until("another key is taken", lambda: process.events("configuration read again"))
+        began = anyio.current_time()
+        await f.r.until("it serves", lambda: len(traffic.since("f0", began)) > 5)
+        assert {a.mark for a in traffic.since("f0", began)} == {2}  # under the policy all the same
+
+
+async def test_a_leader_that_was_stopped_grants_nothing_when_it_wakes(tmp_path: Path) -> None:
+    # its front reaches nobody else, and its asking lies in the old leader's buffer
+    async with fleet(tmp_path) as f:
+        traffic = f.traffic()
+        await f.everywhere(traffic, 1)
+        old = await f.r.leader()
+        f.r.processes[old].stop()
+        for (front, keeper), relay in f.r.relays.items():
+            if front == "f0" and keeper != old:
+                relay.hold("to", "back")
+        await f.r.leader(old)
+        await f.r.insist(2)
+        await f.everywhere(traffic, 2, "f1", "f2")
+        f.r.processes[old].go_on()
+        woke = anyio.current_time()
+        await f.r.until("f0 is asked", lambda: len(traffic.since("f0", woke)) > 50)
+        assert 1 not in {a.mark for a in traffic.since("f0", woke)}
+        f.r.cut_front("f0")
+        await f.everywhere(traffic, 2)
+        traffic.judge()
--- a/zincladder/__main__.py
+++ b/zincladder/__main__.py
@@ -166,7 +166,10 @@
                 clock.now(), core.ready, lambda: feed is None or feed.heard, lambda: clients.stopping
             )
             readiness.more = policy.lacks if policy else readiness.more
-            calls = Calls(lambda: readiness.lacks(clock.now()), partial(figures, core))
+            calls = Calls(
+                lambda: readiness.lacks(clock.now()),
+                lambda: figures(core, policy.figures() if policy else None),
+            )
             operators = OperatorAddress(listener(config.control), calls, admission.ledger, Sparing().warning)
             where_control = operators.address
             tasks.start_soon(operators.run)
@@ -198,6 +201,7 @@
                 lambda: feed is not None and feed.connected,
                 admission,
                 lambda: reload.processes,
+                policy.figures if policy else dict,
             )
             if operator.metrics:
                 where_metrics = await tasks.start(Endpoint(operator.metrics, registry, admission).run)
--- a/zincladder/agreement/host.py
+++ b/zincladder/agreement/host.py
@@ -25,6 +25,7 @@
 from zincladder.sparing import Sparing
 
 MOST_LINKS = 512
+MOST_MET = 16  # keepers, by one that is being added and knows no members yet
 MOST_WAITING = 256  # messages to one member
 DECIDED = 5.0  # seconds for a majority to answer before a caller is told that it has not
 ROLES = ("keeper", "operator", "front")
@@ -237,6 +238,8 @@
         known = self.member.members.all
         if known and hello.name not in known:
             return f"{hello.name!r} is no member"
+        if not known and len(self._store.births) >= MOST_MET and hello.name not in self._store.births:
+            return "too many keepers before the group's members are known"
         if hello.name == self.config.name:
             return f"{hello.name!r} is this keeper's own name"
         if self._store.births.get(hello.name, hello.birth) != hello.birth:
--- a/zincladder/control/figures.py
+++ b/zincladder/control/figures.py
@@ -2,14 +2,14 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
+from collections.abc import Iterator, Mapping
 
 from zincladder.core.engine import Core
 
 KINDS = {"succeeded": "served", "declined": "refused", "aborted": "failed"}
 
 
-def figures(core: Core) -> Iterator[tuple[str, int]]:
+def figures(core: Core, policy: Mapping[str, float] | None = None) -> Iterator[tuple[str, int]]:
     """Each name and its value; all classes are there from the start, whether or not they have counted yet."""
     counted = core.figures
     for klass in counted.classes:
@@ -22,3 +22,5 @@
     yield "ejected", core.avoided()
     yield "sighup_applied", core.counts["reloads", "applied"]
     yield "sighup_rejected", core.counts["reloads", "rejected"]
+    for name, value in (policy or {}).items():
+        yield f"policy_{name}", int(value)
--- a/zincladder/links/frames.py
+++ b/zincladder/links/frames.py
@@ -16,6 +16,7 @@
 VERSION = 1
 HEAD = struct.Struct(">II")
 MOST_BODY = 1 << 20
+MOST_GREETING = 2048  # of a body before the other side is known
 
 
 class Spoilt(Exception):
@@ -63,10 +64,10 @@
 
 
 class Frames:
-    """Bytes in, bodies out; what is held is bounded by one frame and one read."""
+    """Bytes in, bodies out; what is held is bounded by one frame of `most` bytes and one read."""
 
-    def __init__(self) -> None:
-        self._data = bytearray()
+    def __init__(self, most: int = MOST_BODY) -> None:
+        self._data, self.most = bytearray(), most
 
     def feed(self, data: bytes) -> list[bytes]:
         """The bodies that are whole now. Spoilt where the bytes are no frame."""
@@ -74,8 +75,8 @@
         found, at = [], 0
         while at + HEAD.size <= len(self._data):
             length, crc = HEAD.unpack_from(self._data, at)
-            if length > MOST_BODY:
-                raise Spoilt(f"a message of {length} bytes, {MOST_BODY} at most")
+            if length > self.most:
+                raise Spoilt(f"a message of {length} bytes, {self.most} at most")
             end = at + HEAD.size + length
             if end > len(self._data):
                 break
--- a/zincladder/links/host.py
+++ b/zincladder/links/host.py
@@ -13,7 +13,18 @@
 import msgspec
 
 from zincladder.config import Address
-from zincladder.links.frames import Frames, Greeting, Hello, Refused, Spoilt, Stranger, Welcome, frame
+from zincladder.links.frames import (
+    MOST_BODY,
+    MOST_GREETING,
+    Frames,
+    Greeting,
+    Hello,
+    Refused,
+    Spoilt,
+    Stranger,
+    Welcome,
+    frame,
+)
 
 PATIENCE = 2.0  # seconds for a connection and its greeting, and for a write that makes no way
 READ = 64 << 10
@@ -26,7 +37,7 @@
     """One connection to another process, after the greeting or before it."""
 
     def __init__(self, stream: anyio.abc.ByteStream) -> None:
-        self._stream, self._frames = stream, Frames()
+        self._stream, self._frames = stream, Frames(MOST_GREETING)
         self._bodies: deque[bytes] = deque()
         self._turn = anyio.Lock()
 
@@ -46,6 +57,10 @@
         except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as fault:
             raise Spoilt(f"a message that cannot be read: {fault}") from None
 
+    def met(self) -> None:
+        """Whoever is at the other end has been greeted, and may say more."""
+        self._frames.most = MOST_BODY
+
     async def close(self) -> None:
         with anyio.CancelScope(shield=True), contextlib.suppress(*ENDED):
             await anyio.aclose_forcefully(self._stream)
@@ -64,6 +79,7 @@
     if isinstance(answer, Refused):
         await link.close()
         raise Stranger(answer.why[:300])
+    link.met()
     return link, answer
 
 
@@ -75,6 +91,7 @@
             await link.send(Refused(why))
             raise Stranger(f"{hello.role[:20]} {hello.name[:40]!r}: {why}")
         await link.send(me)
+    link.met()
     return hello
 
 
--- a/zincladder/metrics/registry.py
+++ b/zincladder/metrics/registry.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterator, Mapping
 from dataclasses import dataclass
 
 from zincladder.admission.gate import Admission, Gate
@@ -69,7 +69,17 @@
     "processes": ("zincladder_processes", "Processes of this front: 2 at an upgrade."),
     "feed": ("zincladder_coordinator_connected", "1 while the coordinator is followed."),
 }
-TABLES = (COUNTERS, ADMISSION, GAUGES, ADMISSION_GAUGES, CACHE, CLASS)
+# Of the fleet's policy, where the front takes part in one.
+POLICY = {
+    "version": (
+        "zincladder_policy_version",
+        "Version of the fleet's policy served under; 0 while there is none.",
+    ),
+    "lease": ("zincladder_policy_lease_seconds", "Time left of the lease on it."),
+    "linked": ("zincladder_policy_linked", "1 while there is a link to the leading keeper."),
+    "refused": ("zincladder_policy_refused_total", "Requests refused for want of a lease."),
+}
+TABLES = (COUNTERS, ADMISSION, GAUGES, ADMISSION_GAUGES, CACHE, CLASS, POLICY)
 NAMES = frozenset(row[0] for table in TABLES for row in table.values()) | {PENALTIES, FORWARDS}
 
 
@@ -92,8 +102,9 @@
         connected: Callable[[], bool],
         admission: Admission,
         processes: Callable[[], int] = lambda: 1,
+        policy: Callable[[], Mapping[str, float]] = dict,
     ) -> None:
-        self._processes = processes
+        self._processes, self._policy = processes, policy
         self._core, self._front, self._connected, self._admission = core, front, connected, admission
 
     def samples(self) -> Iterator[Sample]:
@@ -113,6 +124,8 @@
         for key, value in values.items():
             yield Sample(GAUGES[key][0], (front,), float(value))
         yield Sample(FORWARDS, (front,), float(self._core.figures.forwards))
+        for key, figure in self._policy().items():
+            yield Sample(POLICY[key][0], (front,), figure)
         yield from self._of_admission(front)
         yield from self._of_figures(front)
 
@@ -166,6 +179,7 @@
         kinds[FORWARDS] = ("counter", "Attempts of which the last byte was written.")
         kinds[PENALTIES] = ("counter", "Penalties that sources of connections were given.")
         kinds |= {name: ("gauge", text) for name, text in GAUGES.values()}
+        kinds |= {n: ("counter" if n.endswith("_total") else "gauge", text) for n, text in POLICY.values()}
         others = (*ADMISSION_GAUGES.values(), *CACHE.values(), *CLASS.values())
         kinds |= {n: ("counter" if n.endswith("_total") else "gauge", text) for n, _, text in others}
         lines, seen = [], set()
--- a/zincladder/policy/conductor.py
+++ b/zincladder/policy/conductor.py
@@ -38,6 +38,7 @@
     Released,
     Renew,
     Terms,
+    Waits,
 )
 
 MOST_FRONTS = 2048
@@ -165,7 +166,7 @@
         if len(self.fronts) >= MOST_FRONTS:
             return f"{MOST_FRONTS} fronts at most"
         self.fronts[number] = Front(name, process, now)
-        if name not in self.roster:
+        if name not in self.roster and len(self.roster) < MOST_FRONTS:  # names are a front's own claim
             self._wish.expect.append(name)
         self._go_on(now)
         return ""
@@ -184,8 +185,9 @@
             case Renew():
                 front.renewed, front.document = now, message.document
                 front.parked = message
-                if not self._clearing():
-                    self._grant(number, front, now)
+                self._grant(number, front, now)
+                if front.parked is message:  # so that it does not take this keeper for dead
+                    self._wish.say.append((number, Waits(message.serial)))
             case Checked():
                 if message.version == front.checking:
                     front.answer = message
--- a/zincladder/policy/front.py
+++ b/zincladder/policy/front.py
@@ -22,6 +22,7 @@
 from zincladder.policy.model import Elsewhere, FromKeeper
 
 MOST_WAITING = 64
+SILENT = 2.5  # askings without a word after which another keeper is tried
 log = structlog.get_logger()
 
 
@@ -70,6 +71,16 @@
         changing, out = "the fleet's policy is changing", "the lease on the fleet's policy has run out"
         return changing if holder.linked else out
 
+    def figures(self) -> dict[str, float]:
+        """For those who watch: the version served under (0 for none), the lease's seconds, and so on."""
+        now = self._clock()
+        return {
+            "version": float(self.holder.serving(now)),
+            "lease": round(self.holder.left(now), 3),
+            "linked": float(self.holder.linked),
+            "refused": float(self.refused),
+        }
+
     # Running --------------------------------------------------------------------------------------
 
     async def run(self) -> None:
@@ -117,7 +128,9 @@
                 self._pump()
                 leader = ""
                 while not leader:
-                    message: FromKeeper = await link.receive(FromKeeper)
+                    # Guards against a leader that was stopped, and a network that loses all: the link stands.
+                    with anyio.fail_after(SILENT * self.holder.renew):
+                        message: FromKeeper = await link.receive(FromKeeper)
                     if isinstance(message, Elsewhere):
                         leader = message.leader
                         break
--- a/zincladder/policy/holder.py
+++ b/zincladder/policy/holder.py
@@ -21,6 +21,7 @@
     Release,
     Released,
     Renew,
+    Waits,
 )
 
 RENEW = 1.0  # seconds
@@ -123,8 +124,8 @@
                     self._fetching = ""
                 if document == self._document:
                     self._take()
-            case Elsewhere():
-                pass  # the host goes there
+            case Elsewhere() | Waits():
+                pass  # the host goes there, or knows that it is heard
 
     def _granted(self, granted: Granted, now: float) -> None:
         asked = self._asked.pop(granted.serial, None)
--- a/zincladder/policy/model.py
+++ b/zincladder/policy/model.py
@@ -145,6 +145,12 @@
     renew: float
 
 
+class Waits(msgspec.Struct, frozen=True, array_like=True, tag="waits"):
+    """The asking with this serial was heard; its lease comes when there is a version to give it on."""
+
+    serial: int
+
+
 class Check(msgspec.Struct, frozen=True, array_like=True, tag="check"):
     """Asks whether a front could serve under a document."""
 
@@ -172,4 +178,4 @@
     leader: str
 
 
-FromKeeper = Granted | Check | Release | Delivered | Elsewhere
+FromKeeper = Granted | Waits | Check | Release | Delivered | Elsewhere
