--- a/benchmarks/policy.py
+++ b/benchmarks/policy.py
@@ -2,10 +2,10 @@
 
     python -m benchmarks.policy [--quick] [--out DIR] [--changes N] [--fronts N] [--keepers N] [--seed N]
 
-Clients ask every front all the time; each answer says under which policy it was decided. First changes without
-faults, then with fronts killed, stopped and cut off at random, then leaders killed. `old` counts answers under
-a version older than one that an earlier answer had: it has to be 0. Times in milliseconds but where a name
-says otherwise. The figures of the journal are of one directory by itself.
+Clients ask every front all the time; each answer says under which policy it was decided. First changes
+without faults, then with fronts killed, stopped and cut off at random, then leaders killed. `old` counts
+answers under a version older than one that an earlier answer had: it has to be 0. Times in milliseconds but
+where a name says otherwise. The figures of the journal are of one directory by itself.
 """
 
 from __future__ import annotations
