--- a/zincladder/policy/front.py
+++ b/zincladder/policy/front.py
@@ -88,6 +88,7 @@
         patience = Patience(self._random.random)
         names = list(self._config.keepers)
         self._random.shuffle(names)
+        sent_on = False
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._renewing)
             while True:
@@ -107,9 +108,10 @@
                 if leader in names:
                     names.remove(leader)
                     names.insert(0, leader)
-                    if leader != name:
-                        continue
-                await anyio.sleep(patience.wait())
+                # At once to whom one that does not lead has named, but once: two may name each other a while.
+                sent_on = leader not in ("", name) and not sent_on
+                if not sent_on:
+                    await anyio.sleep(patience.wait())
 
     def _say(self, why: str) -> None:
         if why != self._said:  # once for each reason, however often it is tried
