Decide no request under rules that a fleet's policy has ended since it was read

Cause: net/clients.py looks the class's number up when a frame is read, Core.serve asked the lease only; a number of old rules rests for 2 s, so a request between the two was decided by them. Now Core asks both in the same step: a number whose class has other rules gets a refusal with a time to come back, in serve and in steer. Without a policy nothing is asked, as before.

A leader that removes itself lets its readings go instead of leaving them for 5 s. A keeper that hands over waits for up to 2 s and says whether it was let go, which the test that failed once now looks at, instead of the successor's log at the moment of the end.

--- a/tests/test_agreement.py
+++ b/tests/test_agreement.py
@@ -204,6 +204,29 @@
     assert member.commit == 3
 
 
+def led_by_b() -> Member:
+    """A leader of three whose first entry is committed."""
+    member = Member("b", Disk(Hard(), Snapshot(0, 0, FOUNDERS)).stored, 0.0, 1)
+    member.tick(10.0)
+    for pre in (True, False):
+        member.receive("a", Vote(1, True, pre), 10.0)
+    member.take()
+    member.receive("a", Appended(1, 1, True, 1), 10.0)
+    assert member.role is Role.LEADER and member.commit == 1
+    member.take()
+    return member
+
+
+def test_a_leader_that_removes_itself_lets_nobody_wait_for_a_reading() -> None:
+    member = led_by_b()
+    member.change(Members({n: w for n, w in FOUNDERS.voters.items() if n != "b"}))
+    member.read(7)  # asked before its removal is decided
+    member.take()
+    for name in "ac":  # an answer to what was sent before the reading was asked for
+        member.receive(name, Appended(1, 1, True, 2), 10.1)
+    assert member.role is Role.FOLLOWER and member.take().lost == (7,)
+
+
 # On disk ------------------------------------------------------------------------------------------
 
 
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -5,6 +5,7 @@
 import socket
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
+from dataclasses import replace
 from typing import Any
 
 import anyio
@@ -14,7 +15,7 @@
 from tests.conftest import FLEET, cache, settings
 from zincladder import interface as api
 from zincladder.core.ends import RESULTS, End, How
-from zincladder.core.engine import Answer, Ask, Core, Order
+from zincladder.core.engine import READ_AGAIN, Answer, Ask, Core, Order
 from zincladder.core.figures import Figures
 from zincladder.net.stream import Ended, Inbox, Outbox
 
@@ -96,6 +97,20 @@
         assert again or c.answer
 
 
+async def test_a_request_that_was_read_before_other_rules_came_is_not_decided_by_the_old() -> None:
+    # guards a fleet's promise: with real processes an answer was under old rules after new ones were in force
+    c = Case()
+    c.core.hold_off = lambda: 0.0  # it may serve: only what the request was read under is over
+    before, *others = c.core.settings.classes
+    rules = (replace(before, fresh_for=before.fresh_for + 1), *others)
+    c.core.retune(replace(c.core.settings, classes=rules), c.core.classes.names[: len(rules)])
+    assert c.core.classes.rules[0] == before  # what was taken under it would go on
+    await c.serve(0)
+    assert c.answer == Answer("refused", retry_after=READ_AGAIN) and not c.carrier.orders
+    assert c.core.steer(Ask("t", 0, 7, 0, 3, c.core.clock.now() + 1)) is None
+    assert c.core.steer(Ask("t", c.core.classes.current["0"], 7, 0, 3, c.core.clock.now() + 1)) is not None
+
+
 async def test_a_withdrawn_request_leaves_no_trace_in_the_router() -> None:
     async with case() as (c, scope):
         assert c.core.router.attempts
--- a/tests/test_keepers.py
+++ b/tests/test_keepers.py
@@ -249,8 +249,13 @@
         await r.write("a", b"1")
         r.processes[old].send(signal.SIGTERM)
         assert await r.processes[old].ended() == 0
-        logs = [r.processes[n].events("standing") for n in names if n != old]
-        assert any(line["role"] == "leader" for lines in logs for line in lines)
+        (said,) = r.processes[old].events("ended")
+        assert said["led"] is False  # it was let go by whoever stood at its word, before it ended
+        await r.until("another leads", lambda: [n for n in names if n != old and led(r, n)])
+
+
+def led(r: Rig, name: str) -> bool:
+    return any(line["role"] == "leader" for line in r.processes[name].events("standing"))
 
 
 async def test_a_keeper_far_behind_takes_a_snapshot_in(tmp_path: Path) -> None:
--- a/zincladder/agreement/host.py
+++ b/zincladder/agreement/host.py
@@ -364,6 +364,7 @@
             raise NotLeader(self.member.leader)
 
     async def change(self, what: calls.Change) -> None:
+        await self.confirm()  # one that has just been elected takes no other members before its first entry
         members = self.member.members
         for name, where in what.add.items():
             try:
@@ -397,12 +398,16 @@
             bytes_kept=self._store.size,
         )
 
+    @property
+    def leads(self) -> bool:
+        return self.member.role is Role.LEADER
+
     async def step_aside(self, patience: float) -> None:
         """Before an orderly end: lets another lead, if there is one that can."""
-        if self.member.role is not Role.LEADER:
+        if not self.leads:
             return
         self.member.step_aside(self._clock())
         self._wake()
         with anyio.move_on_after(patience):
-            while self.member.role is Role.LEADER:
+            while self.leads:
                 await anyio.sleep(self.config.heartbeat / 2)
--- a/zincladder/agreement/member.py
+++ b/zincladder/agreement/member.py
@@ -180,11 +180,15 @@
     def _follow(self, term: int, leader: str, now: float) -> None:
         if term > self.term:
             self.term, self.vote = term, ""
+        self._lead_no_more()
+        self.leader, self._votes, self._aside = leader, set(), False
+        self._wait(now)
+
+    def _lead_no_more(self) -> None:
         if self.role is Role.LEADER:
             self._lost += [read.ticket for read in self._reads] + self._early
             self._reads, self._early, self.peers = [], [], {}
-        self.role, self.leader, self._votes, self._aside = Role.FOLLOWER, leader, set(), False
-        self._wait(now)
+        self.role, self.leader = Role.FOLLOWER, ""
 
     def _campaign(self, now: float, pre: bool, handed: bool = False) -> None:
         """Without a pre-vote, one that was cut off would come back with a term that ends a good leader's."""
@@ -401,7 +405,7 @@
         self._early.clear()
         self._tell_all()  # what is committed is to be known soon, not at the next heartbeat
         if self.name not in voters and self.commit >= self.log.members_at:
-            self.role, self.leader, self.peers = Role.FOLLOWER, "", {}  # it has removed itself
+            self._lead_no_more()  # it has removed itself
 
     def _check_leads(self) -> None:
         if self.role is not Role.LEADER:
--- a/zincladder/cli/keep.py
+++ b/zincladder/cli/keep.py
@@ -15,7 +15,7 @@
 from zincladder.config import ConfigError
 from zincladder.config.keeper import KeeperConfig, keeper_of
 
-ASIDE = 1.0  # seconds for another to take the lead, at an orderly end
+ASIDE = 2.0  # seconds at most for another to take the lead, at an orderly end
 
 
 def read_keeper(path: Path) -> KeeperConfig:
@@ -93,7 +93,7 @@
                 tasks.cancel_scope.cancel()
     finally:
         store.close()
-    structlog.get_logger().info("ended", entries=keeper.applied)
+    structlog.get_logger().info("ended", entries=keeper.applied, led=keeper.leads)
 
 
 def group_options(command: Any) -> Any:
--- a/zincladder/core/classes.py
+++ b/zincladder/core/classes.py
@@ -31,6 +31,10 @@
             return gone
         return found
 
+    def in_force(self, number: int) -> bool:
+        """Whether a number stands for the rules that its class has now, and not for those that it had."""
+        return self.current.get(self.names[number]) == number
+
     def take(
         self, names: Sequence[str], rules: Sequence[api.RequestClass], held: Set[int], now: float
     ) -> tuple[int, ...]:
--- a/zincladder/core/engine.py
+++ b/zincladder/core/engine.py
@@ -29,6 +29,7 @@
 # Seconds between two looks at the timers, of which each request sets one. A wait of its own for each took a
 # fifth of the time on a wide day: the event loop counts whole milliseconds and went round until it was due.
 TICK = 0.01
+READ_AGAIN = 0.05  # seconds after which a client may repeat what was read under rules that are over
 log = structlog.get_logger()
 
 
@@ -140,6 +141,7 @@
         self.figures.keep_classes(self.classes.current, ())
         self.on_tick: Callable[[], None] | None = None  # a front's own look at the clock
         # Seconds for which nothing new may be decided; 0 if it may. Asked at each request, never remembered.
+        # Where it is given, requests are decided under the classes in force only.
         self.hold_off: Callable[[], float] | None = None
         self.behind = 0.0  # seconds by which the event loop was late at its last two looks
         self._requests = 0
@@ -153,7 +155,7 @@
 
     async def serve(self, ask: Ask) -> Answer:
         """The life of one request, from its arrival to its one answer. Cancelling it: the client left."""
-        if self.hold_off is not None and (wait := self.hold_off()):
+        if self.hold_off is not None and (wait := self._held_off(ask.klass)):
             self.answered(ask.klass, "refused")
             return Answer("refused", retry_after=wait)
         number = self._number()
@@ -176,6 +178,14 @@
         finally:
             self._forget(number)
 
+    def _held_off(self, klass: int) -> float:
+        """Seconds for which a request that was read under this class's number may not be decided; 0: it may.
+
+        Guards a request that was read just before other rules came into force: its number stands for the old.
+        """
+        assert self.hold_off is not None
+        return self.hold_off() or (0.0 if self.classes.in_force(klass) else READ_AGAIN)
+
     def answered(self, klass: int, kind: str) -> None:
         """The one place where answers are counted, those too that the module never heard of."""
         self.counts["answers", kind] += 1
@@ -235,7 +245,7 @@
 
         Nobody sees how it fares, so no outcome is told: the attempt ends as never sent, which it was not.
         """
-        if self.hold_off is not None and self.hold_off():
+        if self.hold_off is not None and self._held_off(ask.klass):
             self.counts["steered", "refused"] += 1
             return None
         number = self._number()
