Test attempts, drains, refusals, weights and two hubs at the wire, under both sites' settings

Need: the module's tests had these cases, the wire's only for the first site, or not at all. Now the same stories run under the settings of each, so that a third site is a third row: one attempt at a time and no more than the settings allow (four ways to fail, at 2, 6 and 8 attempts); from the moment at which a drain is told nothing goes there, asked or named as source; a refusal's pause within what the settings allow; shares by listed weights, and even ones where none are listed; an object's fills meet at one parent from two locations on two hubs.

--- a/tests/stands.py
+++ b/tests/stands.py
@@ -62,12 +62,14 @@
     connections: int = 0
     open: int = 0  # connections
     mute: bool = False  # cut off: not even probes are answered
+    weight: int = 1
+    zone: str = ""  # by its kind, if it is not said
 
     def member(self, status: str = "up", since: int = 0) -> dict[str, Any]:
         where = f"127.0.0.1:{self.port}"
-        zone = ZONES[self.kind == 0]
+        zone = self.zone or ZONES[self.kind == 0]
         return {"name": self.name, "address": where, "zone": zone, "type": MODELS[self.kind], "group": 0,
-                "status": status, "weight": 1, "since_ms": since}  # fmt: skip
+                "status": status, "weight": self.weight, "since_ms": since}  # fmt: skip
 
     def record(self, state: int) -> bytes:
         """The member as a line of the coordinator's list: 0 ready, 1 draining, 2 gone."""
--- a/tests/test_deployments.py
+++ b/tests/test_deployments.py
@@ -6,6 +6,7 @@
 import copy
 import dataclasses
 import time
+from collections import Counter
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
@@ -15,7 +16,7 @@
 import pytest
 
 from benchmarks.difference import difference
-from tests.stands import SETTINGS, Client, Fetch, StubCache, client, configuration, serve, world
+from tests.stands import SETTINGS, ZONES, Client, Fetch, StubCache, client, configuration, serve, world
 from zincladder import interface as api
 from zincladder.__main__ import Listening, front
 from zincladder.config import Config, Operator, config_of
@@ -154,6 +155,105 @@
     assert [e.size_kb for e in told if isinstance(e, api.Request)] == [12.5]
 
 
+# What each site's rules allow ----------------------------------------------------------------------
+
+
+def allowing(site: Site, attempts: int) -> dict[str, Any]:
+    return site.settings | {"ceilings": site.settings["ceilings"] | {"attemptsCap": attempts}}
+
+
+@both
+@pytest.mark.parametrize("attempts", [2, 6, 8])
+@pytest.mark.parametrize("word", [404, 500, 503, 0])
+async def test_one_attempt_at_a_time_and_no_more_than_the_settings_allow(
+    site: Site, attempts: int, word: int
+) -> None:
+    # 0: its connection ends without an answer
+    out, most, made = Counter[str](), Counter[str](), Counter[str]()
+
+    async def fails(_: StubCache, fetch: Fetch) -> None:
+        made[fetch.name] += 1
+        out[fetch.name] += 1
+        most[fetch.name] = max(most[fetch.name], out[fetch.name])
+        await anyio.sleep(0.01)
+        out[fetch.name] -= 1
+        await (fetch.answer(word) if word else fetch.stream.aclose())
+
+    async with world(fails, fails, origin=fails, settings=allowing(site, attempts)) as w, client(w) as c:
+        w.caches[-2].script = fails
+        for n in range(6):
+            route = site.write if n == 5 else site.read
+            await c.ask(entity=f"{n:016x}", patience="1500", **({"route": route} | site.fields))
+        for _ in range(6):
+            assert (await c.reply()).kind != "served"
+    assert len(made) == 6 and set(most.values()) == {1}
+    assert max(made.values()) <= attempts and max(made.values()) > 1
+
+
+@both
+@pytest.mark.parametrize("as_source", [False, True], ids=["asked", "source"])
+async def test_from_the_moment_a_drain_is_told_nothing_goes_there(
+    site: Site, as_source: bool, told: list[api.Event]
+) -> None:
+    async with world(serve, serve, settings=site.settings) as w, client(w) as c:
+        drained = w.caches[-2 if as_source else 0]
+
+        async def named(first: int) -> int:
+            for n in range(first, first + 24):
+                await c.ask(entity=f"{n:016x}", **({"route": site.read} | site.fields))
+                assert (await c.reply()).kind == "served"
+            all_of_them = [f for cache in w.caches for f in cache.fetches]
+            return len(drained.fetches) + sum(f.fields.get("up") == drained.name for f in all_of_them)
+
+        before = await named(0)
+        assert before
+        await w.coordinator.tell(2, drained.record(1))
+        with anyio.fail_after(5):
+            while sum(isinstance(e, api.MemberList) for e in told) < 2:
+                await anyio.sleep(0.002)
+        assert await named(100) == before
+
+
+@both
+async def test_a_refusal_names_a_time_within_what_the_settings_allow(site: Site) -> None:
+    async def lacks(_: StubCache, fetch: Fetch) -> None:
+        await fetch.answer(404)
+
+    async with world(lacks, origin=lacks, settings=site.settings) as w, client(w) as c:
+        await c.ask(b"order", **({"route": site.write} | site.fields))
+        reply = await c.reply()
+    assert reply.kind == "Throttled"
+    assert 0 < int(reply.fields["pause"]) <= 1000 * site.settings["ceilings"]["maxRetryAfter"]
+
+
+@both
+async def test_objects_are_shared_out_by_weight_where_the_settings_say_that_it_is_listed(site: Site) -> None:
+    heavy, light = StubCache("s-00000001", 0, weight=3), StubCache("s-00000002", 0)
+    members = [heavy, light, StubCache("s-000000a0", 1), StubCache("s-000000b0", 2)]
+    async with world(members=members, settings=site.settings) as w, client(w) as c:
+        for n in range(160):
+            await c.ask(entity=f"{n * 7919:016x}", **({"route": site.read} | site.fields))
+            assert (await c.reply()).kind == "served"
+    share = len(heavy.fetches) / 160
+    assert (0.65 < share < 0.85) if "weightSource" in site.settings else (0.35 < share < 0.65)
+
+
+@both
+async def test_an_objects_fills_meet_at_one_parent_whatever_the_location_and_its_hub(site: Site) -> None:
+    homes = []
+    for zone in range(2):  # with two hubs, each location is tied to another
+        parents = [StubCache(f"s-{n + 160:08x}", 1, zone=ZONES[n % 2]) for n in range(3)]
+        members = [StubCache("s-00000001", 0, zone=ZONES[zone]), *parents, StubCache("s-000000b0", 2)]
+        settings = site.settings | {"az": zone}
+        settings["domain"] = settings["domain"] | {"seatsByZone": [1, 1]}
+        async with world(members=members, settings=settings) as w, client(w) as c:
+            for n in range(40):
+                await c.ask(entity=f"{n:016x}", **({"route": site.read} | site.fields))
+                assert (await c.reply()).kind == "served"
+        homes.append({f.fields["item"]: f.fields["up"] for f in members[0].fetches})
+    assert homes[0] == homes[1] and len(set(homes[0].values())) == 3
+
+
 # The protocol, field by field -----------------------------------------------------------------------
 
 # As the operators' page lists them, with two values that mean different things.
