--- a/tests/simulated_fleet.py
+++ b/tests/simulated_fleet.py
@@ -10,10 +10,11 @@
 from zincladder.agreement.member import Busy, NotLeader, Role
 from zincladder.agreement.model import Entry, Kind, Snapshot
 from zincladder.agreement.registers import Registers, Swap
+from zincladder.agreement.terms import Terms
 from zincladder.policy import book
 from zincladder.policy.conductor import Conductor, proposed
 from zincladder.policy.holder import Holder
-from zincladder.policy.model import RECORD, Checked, FromFront, FromKeeper, Outcome, Phase, Terms, document_id
+from zincladder.policy.model import RECORD, Checked, FromFront, FromKeeper, Outcome, Phase, document_id
 
 TERMS = Terms(lease=2.5, renew=0.5, drift=0.1, check=1.0, clear=0.4)
 
--- /dev/null
+++ b/tests/test_duties_processes.py
@@ -0,0 +1,366 @@
+"""Duties with real keepers and fronts, a receiver that knows fences, and faults between them.
+
+The receiver keeps every push with its token, also those that it refused. The judge: accepted ones are in the
+order of their tokens and times, none comes twice, and what is summed never falls.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import random
+import signal
+from collections.abc import AsyncIterator
+from dataclasses import dataclass, field
+from itertools import pairwise
+from pathlib import Path
+
+import anyio
+import anyio.abc
+import cramjam
+import h11
+import pytest
+
+from tests.processes import Process, Rig, Traffic, free_port, marking, rig
+from tests.stands import StubCache
+from zincladder.agreement.client import NoAnswer, Open
+from zincladder.agreement.registers import Fenced
+from zincladder.export import messages
+from zincladder.ownership.fence import Fence
+from zincladder.ownership.figures import FENCED
+from zincladder.ownership.model import checkpoint
+
+pytestmark = pytest.mark.anyio
+EVERY = 0.2
+
+
+@dataclass
+class Push:
+    """What one push said."""
+
+    token: int
+    at: int
+    totals: dict[str, float]
+    accepted: bool
+
+
+@dataclass
+class Receiver:
+    """A stand-in for whoever takes samples; it remembers the highest token of each duty."""
+
+    fence: Fence = field(default_factory=Fence)
+    pushes: list[Push] = field(default_factory=list)
+    port: int = 0
+
+    async def run(self, *, task_status: anyio.abc.TaskStatus[None]) -> None:
+        listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+        self.port = listener.extra(anyio.abc.SocketAttribute.local_port)
+        task_status.started()
+        await listener.serve(self._connection)
+
+    async def _connection(self, stream: anyio.abc.SocketStream) -> None:
+        talk, body, fence = h11.Connection(h11.SERVER), b"", ""
+        with contextlib.suppress(anyio.EndOfStream, anyio.BrokenResourceError, h11.RemoteProtocolError):
+            async with stream:
+                while True:
+                    event = talk.next_event()
+                    if event is h11.NEED_DATA:
+                        talk.receive_data(await stream.receive())
+                    elif isinstance(event, h11.Request):
+                        fence = dict(event.headers)[b"x-zincladder-fence"].decode()
+                    elif isinstance(event, h11.Data):
+                        body += bytes(event.data)
+                    elif isinstance(event, h11.EndOfMessage):
+                        status = self._take(fence, bytes(cramjam.snappy.decompress_raw(body)))
+                        answer = h11.Response(status_code=status, headers=[("Content-Length", "0")])
+                        parts = (answer, h11.EndOfMessage())
+                        await stream.send(b"".join(talk.send(part) or b"" for part in parts))
+                        return
+                    else:
+                        return
+
+    def _take(self, fence: str, payload: bytes) -> int:
+        duty, _, token = fence.partition(" ")
+        request = messages.parse_v2(payload)
+        symbols = list(request.symbols)
+        totals, times = {}, set()
+        for series in request.timeseries:
+            (sample,) = series.samples
+            totals[" ".join(symbols[ref] for ref in series.labels_refs)] = sample.value
+            times.add(sample.timestamp)
+        why = self.fence.admit(duty, int(token))
+        self.pushes.append(Push(int(token), times.pop(), totals, not why))
+        return FENCED if why else 200
+
+    @property
+    def accepted(self) -> list[Push]:
+        return [p for p in self.pushes if p.accepted]
+
+    def tokens(self) -> list[int]:
+        return sorted({p.token for p in self.accepted})
+
+    def judge(self) -> None:
+        seen: list[Push] = self.accepted
+        assert [p.token for p in seen] == sorted(p.token for p in seen), "of two owners, interleaved"
+        times = [p.at for p in seen]
+        assert times == sorted(set(times)), "twice, or out of order"
+        for before, after in pairwise(seen):
+            for series, value in before.totals.items():
+                assert after.totals[series] >= value, f"{series} fell"
+
+
+class Crew:
+    """A rig with keepers and fronts that all would own the fleet's figures."""
+
+    def __init__(self, r: Rig, receiver: Receiver, caches: list[StubCache]) -> None:
+        self.r, self.receiver, self.caches = r, receiver, caches
+        self.fronts: list[str] = []
+
+    async def add(self, name: str, port: int = 0) -> Process:
+        way = await self.r.relay(name, "receiver")
+        way.target = self.receiver.port
+        lines = ['wants = ["figures"]', "[duties.figures]", f'url = "http://127.0.0.1:{way.port}/push"',
+                 f"every_s = {EVERY}"]  # fmt: skip
+        self.fronts.append(name)
+        return await self.r.front(name, self.caches, port=port, duties=lines)
+
+    async def owner(self, *but: str) -> str:
+        """Whoever says that it acts on the duty now."""
+
+        async def found() -> str:
+            for name in self.fronts:
+                process = self.r.processes[name]
+                if name in but or process.popen is None or process.stopped:
+                    continue
+                if "app.duty_owned=1" in await self.r.told(name, b"STATS\n"):
+                    return name
+            return ""
+
+        return str(await self.r.until("somebody owns the figures", found))
+
+    async def more(self, count: int = 3, after: int = 0) -> None:
+        """Waits for so many more pushes that are accepted, under a token above that."""
+        wanted = sum(p.token > after for p in self.receiver.accepted) + count
+        await self.r.until(
+            "pushes go on", lambda: sum(p.token > after for p in self.receiver.accepted) >= wanted
+        )
+
+    def left(self) -> list[str]:
+        """Why duties were left, by the keepers' logs."""
+        keepers = [p for n, p in self.r.processes.items() if n.startswith("k")]
+        return [line["left"] for p in keepers for line in p.events("duty") if line["left"]]
+
+    def newest(self) -> int:
+        return self.receiver.tokens()[-1]
+
+
+@contextlib.asynccontextmanager
+async def crew(folder: Path, fronts: int = 3, drift: float = 0.0) -> AsyncIterator[Crew]:
+    """Three keepers, some fronts, traffic at all of them, and an owner that pushes."""
+    async with rig(folder, drift) as r, anyio.create_task_group() as tasks:
+        receiver = Receiver()
+        caches = [StubCache("s-00000001", 0, marking), StubCache("s-000000a0", 1), StubCache("s-000000b0", 2)]
+        await tasks.start(receiver.run)
+        for cache in caches:
+            await tasks.start(cache.run)
+        await r.keepers(3)
+        c = Crew(r, receiver, caches)
+        for n in range(fronts):
+            await c.add(f"f{n}")
+        Traffic(r, tasks, c.fronts, each=1, pause=0.05)
+        await c.more()
+        yield c
+        tasks.cancel_scope.cancel()
+        receiver.judge()
+
+
+async def test_one_front_pushes_for_all_and_another_goes_on_when_it_is_killed(tmp_path: Path) -> None:
+    async with crew(tmp_path) as c:
+        for _ in range(3):  # the successor dies too
+            before = c.newest()
+            owner = await c.owner()
+            c.r.processes[owner].kill()
+            await c.more(after=before)
+            assert await c.owner() != owner
+            await c.r.start_front(owner)
+
+
+async def test_an_owner_that_slept_past_its_lease_does_no_harm_when_it_wakes(tmp_path: Path) -> None:
+    async with crew(tmp_path) as c:
+        old, before = await c.owner(), c.newest()
+        process = c.r.processes[old]
+        process.stop()
+        await c.more(after=before)
+        woken = len(c.receiver.pushes)
+        process.go_on()
+        await c.r.until("it has stopped", lambda: process.events("duty ends"))
+        await c.more(after=before)
+        assert not [p for p in c.receiver.pushes[woken:] if p.token <= before]
+
+
+async def test_a_push_that_lay_in_a_buffer_when_its_lease_ended_is_refused_where_it_arrives(
+    tmp_path: Path,
+) -> None:
+    async with crew(tmp_path) as c:
+        old, before = await c.owner(), c.newest()
+        way = c.r.relays[old, "receiver"]
+        way.hold("to")
+        await c.r.until("a push lies there", lambda: way.waiting)
+        c.r.processes[old].stop()
+        await c.more(after=before)
+        way.hold()
+        await c.r.until("it arrives", lambda: late(c, before))
+        assert not late(c, before)[0].accepted
+        c.r.processes[old].go_on()
+        await c.more(after=before)
+
+
+def late(c: Crew, token: int) -> list[Push]:
+    """Pushes under that token that came after one under a newer."""
+    newer = next(n for n, p in enumerate(c.receiver.pushes) if p.token > token)
+    return [p for p in c.receiver.pushes[newer:] if p.token <= token]
+
+
+async def test_progress_that_lay_in_a_buffer_is_refused_by_the_log(tmp_path: Path) -> None:
+    async with crew(tmp_path) as c:
+        old, before = await c.owner(), c.newest()
+        c.r.cut_front(old, "to")  # all that it says lies there: its askings, and its progress
+        await c.more(after=before)
+        c.r.cut_front(old)
+        client = c.r.client_of_keepers()
+        kept = (await client.get("progress/figures"))["progress/figures"]
+        assert await client.ask(checkpoint("figures", before, kept.version, b"late")) == Fenced(c.newest())
+        await c.more(after=before)
+
+
+@pytest.mark.parametrize("ways", [("to",), ("back",), ("to", "back")], ids="-".join)
+async def test_an_owner_that_is_cut_off_stops_and_another_takes_over(
+    tmp_path: Path, ways: tuple[str, ...]
+) -> None:
+    async with crew(tmp_path) as c:
+        old, before = await c.owner(), c.newest()
+        c.r.cut_front(old, *ways)
+        await c.more(after=before)
+        c.r.cut_front(old)
+        assert await c.owner(old)
+        await c.more(after=before)
+
+
+@pytest.mark.parametrize("seed", range(2))
+async def test_kills_at_any_moment_lose_no_progress_and_push_nothing_twice(tmp_path: Path, seed: int) -> None:
+    # between keeping and pushing, between pushing and keeping, and anywhere else
+    draw = random.Random(seed)
+    async with crew(tmp_path) as c:
+        for _ in range(4):
+            before, owner = c.newest(), await c.owner()
+            await anyio.sleep(draw.uniform(0, EVERY))
+            c.r.processes[owner].kill()
+            await c.r.start_front(owner)
+            await c.more(1, after=before)
+
+
+async def test_without_a_majority_nobody_owns_it_and_the_work_goes_on_later(
+    tmp_path: Path,
+) -> None:
+    async with crew(tmp_path) as c:
+        served = c.r.processes["f0"]
+        for name in ("k1", "k2"):
+            c.r.processes[name].kill()
+
+        async def nobody() -> bool:
+            told = [await c.r.told(name, b"STATS\n") for name in c.fronts]
+            return all("app.duty_owned=0" in text for text in told)
+
+        await c.r.until("nobody owns it", nobody)
+        assert await c.r.ready("f0") == "SUCCESS" and served.popen is not None  # fronts go on serving
+        stood, totals = len(c.receiver.pushes), c.receiver.accepted[-1].totals
+        with pytest.raises((NoAnswer, Open)):
+            await c.r.client_of_keepers().swap("x", 0, b"", 1.0)
+        assert len(c.receiver.pushes) == stood
+        await c.r.start("k1")
+        await c.more()
+        assert all(c.receiver.accepted[-1].totals[s] >= v for s, v in totals.items())
+
+
+async def test_clocks_that_jump_and_drift_within_the_bound_make_no_second_owner(tmp_path: Path) -> None:
+    async with crew(tmp_path, drift=0.009) as c:
+        before, owner = c.newest(), await c.owner()
+        c.r.processes[owner].stop()
+        await c.more(after=before)
+        c.r.processes[owner].go_on()
+        await c.more(after=before)
+
+
+async def test_an_orderly_end_hands_the_work_over_before_the_lease_is_over(tmp_path: Path) -> None:
+    async with crew(tmp_path) as c:
+        before, owner = c.newest(), await c.owner()
+        c.r.processes[owner].send(signal.SIGTERM)
+        await c.more(1, after=before)
+        assert c.left()[-1] == f"given back by {owner}"  # so nobody had to wait for its lease
+        assert await c.r.processes[owner].ended() == 0
+
+
+async def test_an_upgrade_leaves_the_work_to_the_new_process_without_a_second_owner(tmp_path: Path) -> None:
+    async with crew(tmp_path, fronts=1) as c:
+        old = await c.add("up", port=free_port())
+        c.r.processes["f0"].kill()
+        assert await c.owner() == "up"
+        await c.more()
+        before = c.newest()
+        new = c.r.processes["up-new"] = Process("up-new", tmp_path / "up-new", [], old.environ)
+        new.folder.mkdir()
+        await c.r.start_front("up-new")
+        c.fronts.append("up-new")
+        old.send(signal.SIGTERM)
+        await c.more(1, after=before)
+        assert c.left()[-1] == "given back by up"  # without a gap as long as a lease
+        assert await old.ended() == 0
+        assert await c.owner() == "up-new"
+
+
+async def test_a_restart_of_all_fronts_ends_with_one_owner_that_keeps_it(tmp_path: Path) -> None:
+    async with crew(tmp_path, fronts=5) as c:
+        before = c.newest()
+        for name in c.fronts:
+            c.r.processes[name].kill()
+        async with anyio.create_task_group() as tasks:
+            for name in c.fronts:
+                tasks.start_soon(c.r.start_front, name)
+        await c.more(10, after=before)
+        assert len([t for t in c.receiver.tokens() if t > before]) == 1
+
+
+def command(c: Crew, *words: str) -> Process:
+    places = [f"--at={n}=127.0.0.1:{p}" for n, p in c.r.ports.items() if n.startswith("k")]
+    name = f"command-{len(c.r.processes)}"
+    folder = c.r.processes["k1"].folder.parent / name
+    folder.mkdir()
+    found = c.r.processes[name] = Process(name, folder, ["duties", "--group=test", *places, *words])
+    found.start()
+    return found
+
+
+async def test_commands_show_move_pause_and_resume_a_duty(tmp_path: Path) -> None:
+    async with crew(tmp_path) as c:
+
+        async def said(*words: str, status: int = 0) -> str:
+            process = command(c, *words)
+            assert await process.ended() == status, process.log_path.read_text()
+            return process.log_path.read_text()
+
+        owner = await c.owner()
+        assert f'"owner": "{owner}"' in await said("status", "--json")
+        assert "figures" in await said("status")
+        other = next(n for n in c.fronts if n != owner)
+        await said("move", "figures", other)
+        assert await c.owner(owner) == other
+        await said("pause", "figures")
+
+        async def nobody() -> bool:
+            return '"owner": ""' in await said("status", "--json")
+
+        await c.r.until("nobody owns it", nobody)
+        stood = len(c.receiver.pushes)
+        assert '"paused": true' in await said("status", "--json")
+        await said("resume", "figures")
+        await c.r.until("it goes on", lambda: len(c.receiver.pushes) > stood)
+        assert "there is no duty 'nothing'" in await said("pause", "nothing", status=1)
--- a/tests/test_export.py
+++ b/tests/test_export.py
@@ -119,7 +119,7 @@
     d.stepped_back(-5000.0)
     assert d.next(-5000.0, 1)[1] <= 300.0
     date = formatdate(1_764_576_060, usegmt=True)
-    from zincladder.export.sender import _unix
+    from zincladder.export.push import _unix
 
     assert retry_after(date, 1_764_576_000.0, _unix) == 60.0
     assert retry_after(" 7 ", 0.0, _unix) == 7.0
--- a/tests/test_keepers.py
+++ b/tests/test_keepers.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import contextlib
+import resource
 import shutil
 import signal
 from pathlib import Path
@@ -187,6 +189,70 @@
         await r.write("a", b"2", leader, lost)
 
 
+async def test_an_older_copy_of_a_directory_is_named_and_not_counted_until_it_is_added_anew(
+    tmp_path: Path,
+) -> None:
+    async with rig(tmp_path) as r:
+        names = await r.keepers(3)
+        leader = await r.leader()
+        late, other = (n for n in names if n != leader)
+        process = r.processes[late]
+        kept = process.folder / "kept"
+        await r.write("a", b"1")
+        process.kill()
+        shutil.copytree(kept, tmp_path / "older")
+        await r.start(late)
+        for n in range(5):
+            await r.write(f"b/{n}", b"2")
+
+        async def stored() -> bool:
+            found = await r.standing(leader)
+            return found is not None and found.stored.get(late) == found.last
+
+        await r.until("it has all", stored)
+        process.kill()
+        shutil.rmtree(kept)
+        shutil.copytree(tmp_path / "older", kept)
+        await r.start(late)
+
+        async def named() -> bool:
+            found = await r.standing(leader)
+            return found is not None and found.older == [late]
+
+        await r.until("the leader names it", named)
+        r.processes[other].stop()  # two of three run, but what this one says is not counted
+
+        async def leads_no_more() -> bool:
+            found = await r.standing(leader)
+            return found is not None and found.role != "leader"
+
+        await r.until("it knows no majority", leads_no_more)
+        r.processes[other].go_on()
+        await r.leader()
+        await r.write("c", b"4")
+        assert len(await r.client().get("b/")) == 5
+
+
+async def test_a_keeper_whose_disk_is_full_loses_its_vote_and_nothing_that_was_answered(
+    tmp_path: Path,
+) -> None:
+    async with rig(tmp_path) as r:
+        await r.keepers(3)
+        full = r.processes[await r.leader()]
+        await r.write("big", bytes(50_000))  # its journal is larger than its log then
+        size = max(path.stat().st_size for path in (full.folder / "kept").iterdir())
+        assert full.popen is not None
+        resource.prlimit(full.popen.pid, resource.RLIMIT_FSIZE, (size + 300, size + 300))
+        for n in range(12):
+            await r.write(f"x/{n:02}", b"%d" % n * 100)
+        assert await full.ended() == 1
+        (said,) = full.events("the keeper ends")
+        assert "File too large" in said["why"]
+        await r.start(full.name)  # with room again
+        found = await r.client().get("x/")
+        assert [v.data for v in found.values()] == [b"%d" % n * 100 for n in range(12)]
+
+
 async def test_more_than_a_message_holds_is_told_and_ends_no_link(tmp_path: Path) -> None:
     async with rig(tmp_path) as r:
         await r.keepers(1)
@@ -286,3 +352,39 @@
         other = next(n for n in names if n not in (leader, late))
         r.processes[other].kill()
         assert (await r.client(leader, late).get("big"))["big"].data[:2] == b"11"
+
+
+async def test_a_keepers_metrics_tell_who_leads_and_who_is_silent(tmp_path: Path) -> None:
+    async with rig(tmp_path) as r:
+        for name in await r.keepers(3):
+            process = r.processes[name]
+            process.kill()
+            file = process.folder / "keeper.toml"
+            file.write_text(file.read_text().replace("[keeper]", '[keeper]\nmetrics = "127.0.0.1:0"'))
+            await r.start(name)
+        leader = await r.leader()
+
+        async def told(name: str) -> dict[str, float]:
+            (said, *_) = await r.until("it tells where", lambda: r.processes[name].events("metrics"))
+            async with await anyio.connect_tcp(*said["listen"]) as stream:
+                await stream.send(b"GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n")
+                page = b""
+                with contextlib.suppress(anyio.EndOfStream):
+                    while True:
+                        page += await stream.receive()
+            lines = [line.rpartition(" ") for line in page.decode().splitlines() if line[:1] == "z"]
+            assert all(f'{{group="test",keeper="{name}"}}' in line for line, _, _ in lines)
+            return {line.partition("{")[0]: float(value) for line, _, value in lines}
+
+        async def led() -> bool:
+            return all([(await told(name))["zincladder_keeper_led"] for name in r.ports])
+
+        await r.until("all know who leads", led)
+        found = {name: await told(name) for name in r.ports}
+        assert [n for n, figures in found.items() if figures["zincladder_keeper_leads"]] == [leader]
+        r.processes[next(n for n in r.ports if n != leader)].kill()
+
+        async def silent() -> bool:
+            return (await told(leader)).get("zincladder_keeper_members_silent") == 1
+
+        await r.until("one is silent", silent)
--- a/zincladder/__main__.py
+++ b/zincladder/__main__.py
@@ -38,6 +38,7 @@
 
 if TYPE_CHECKING:
     from zincladder.export.sender import RemoteWrite
+    from zincladder.ownership.worker import Worker
     from zincladder.policy.front import FleetPolicy
 if sys.modules["rich"] is None:
     del sys.modules["rich"]
@@ -134,6 +135,7 @@
     where_dns = where_metrics = where_control = None
     pushes: list[RemoteWrite] = []
     policy: FleetPolicy | None = None
+    worker: Worker | None = None
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(clients.stop, stopping)
         tasks.start_soon(caches.run)
@@ -156,6 +158,11 @@
 
             policy = follow_policy(operator.policy, config, reload, core)
             tasks.start_soon(policy.run)
+        if operator.duties:
+            from zincladder.ownership.wiring import work_for_fleet
+
+            worker = work_for_fleet(operator.duties, config.name, core)
+            tasks.start_soon(worker.run, stopping)
         if config.control:
             from zincladder.control.address import OperatorAddress
             from zincladder.control.calls import Calls
@@ -168,7 +175,7 @@
             readiness.more = policy.lacks if policy else readiness.more
             calls = Calls(
                 lambda: readiness.lacks(clock.now()),
-                lambda: figures(core, policy.figures() if policy else None),
+                lambda: figures(core, policy=policy, duty=worker),
             )
             operators = OperatorAddress(listener(config.control), calls, admission.ledger, Sparing().warning)
             where_control = operators.address
@@ -202,6 +209,7 @@
                 admission,
                 lambda: reload.processes,
                 policy.figures if policy else dict,
+                worker.figures if worker else dict,
             )
             if operator.metrics:
                 where_metrics = await tasks.start(Endpoint(operator.metrics, registry, admission).run)
@@ -231,6 +239,8 @@
                 flushing.start_soon(push.finish, FLUSH)
             if policy:
                 flushing.start_soon(policy.end, FLUSH)
+            if worker:
+                flushing.start_soon(worker.end, FLUSH)
         tasks.cancel_scope.cancel()
     log.info("ended", answers={k[1]: n for k, n in core.counts.items() if k[0] == "answers"})
 
--- a/zincladder/agreement/calls.py
+++ b/zincladder/agreement/calls.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from zincladder.agreement.registers import Full, Missed, Swap, Swapped, Value
+from zincladder.agreement.registers import Fenced, Full, Missed, Swap, Swapped, Value
 
 
 class Status(msgspec.Struct, frozen=True, array_like=True, tag="status"):
@@ -32,7 +32,11 @@
     """How the work that the leader does for the fleet is coming on."""
 
 
-What = Status | Get | Swap | Change | HandOver | Progress
+class Collect(msgspec.Struct, frozen=True, array_like=True, tag="collect"):
+    """The sums of what processes have told the leader."""
+
+
+What = Status | Get | Swap | Change | HandOver | Progress | Collect
 
 
 class Call(msgspec.Struct, frozen=True, array_like=True):
@@ -92,11 +96,20 @@
     data: bytes
 
 
+class Collected(msgspec.Struct, frozen=True, array_like=True, tag="collected"):
+    """The answer to `Collect`: sums since the epoch began, which is one leader's in one term."""
+
+    epoch: str
+    totals: dict[str, float]
+
+
 class Done(msgspec.Struct, frozen=True, array_like=True, tag="done"):
     """It was done."""
 
 
-Said = Standing | Found | Told | Swapped | Missed | Full | Moved | Failed | Unknown | Done
+Said = (
+    Standing | Found | Told | Collected | Swapped | Missed | Full | Fenced | Moved | Failed | Unknown | Done
+)
 
 
 class Answer(msgspec.Struct, frozen=True, array_like=True):
--- a/zincladder/agreement/client.py
+++ b/zincladder/agreement/client.py
@@ -13,6 +13,7 @@
 from zincladder.links.frames import VERSION, Hello, Stranger
 from zincladder.links.host import FAILED, Link, connect
 
+ASKS = (calls.Get, calls.Status, calls.Progress, calls.Collect)  # that change nothing
 AGAIN = 0.1  # seconds before the keepers are asked once more who leads
 
 
@@ -66,7 +67,7 @@
                     except FAILED as fault:
                         heard[name] = str(fault) or "no answer"
                         continue
-                    asked = not isinstance(what, calls.Get | calls.Status | calls.Progress)
+                    asked = not isinstance(what, ASKS)
                     try:
                         said = await self._asked(link, what)
                     finally:
@@ -86,7 +87,7 @@
         try:
             return await self._call(link, what)
         except FAILED as fault:
-            if isinstance(what, calls.Get | calls.Status | calls.Progress):
+            if isinstance(what, ASKS):
                 return calls.Moved("", "")
             raise Open(f"the link was lost: {str(fault) or type(fault).__name__}") from None
 
--- a/zincladder/agreement/host.py
+++ b/zincladder/agreement/host.py
@@ -29,7 +29,7 @@
 MOST_WAITING = 256  # messages to one member
 MOST_FOUND = 900_000  # bytes of registers in one answer, which has to fit a message
 DECIDED = 5.0  # seconds for a majority to answer before a caller is told that it has not
-ROLES = ("keeper", "operator", "front")
+ROLES = ("keeper", "operator")  # and those that the work on the group serves
 log = structlog.get_logger()
 
 
@@ -84,10 +84,13 @@
         self._seen = ("", "")  # role and leader, as logged last
         self._tasks: anyio.abc.TaskGroup | None = None
         self._warning = Sparing().warning
-        self.changed: Callable[[], None] = lambda: None  # called when the role or the state may have
-        self.fault: Callable[[Swap], str] = lambda _: ""  # why a caller's swap can't be taken
-        self.progress: Callable[[], dict[str, object]] = dict  # of the work that stands on the group
-        self.fronts: Callable[[Link, Hello], Awaitable[None]] | None = None  # who serves their links
+        # What stands on the group: called when the role or the state may have changed, why a caller's swap
+        # can't be taken, how it comes on, and who serves the links of which role.
+        self.watching: list[Callable[[], None]] = []
+        self.faults: list[Callable[[Swap], str]] = []
+        self.progress: list[Callable[[], dict[str, object]]] = []
+        self.serves: dict[str, Callable[[Link, Hello], Awaitable[None]]] = {}
+        self.collect: Callable[[], calls.Collected] = lambda: calls.Collected("", {})
         self._hello = Hello(VERSION, config.group, "keeper", config.name, store.identity.birth)
         self._welcome = Welcome(config.name, store.identity.birth)
 
@@ -131,7 +134,8 @@
                 self._dial_members()
             await self._apply(output)
             self._log_standing()
-            self.changed()
+            for wake in self.watching:
+                wake()
             if self._store.long and self.applied > self.member.log.base:
                 self.member.compact(self.applied, self.registers.dump())
                 continue
@@ -230,7 +234,7 @@
             return await anyio.to_thread.run_sync(self._store.met, name, birth)
 
     def _why_not(self, hello: Hello) -> str:
-        if why := check(hello, self.config.group, ROLES):
+        if why := check(hello, self.config.group, (*ROLES, *self.serves)):
             return why
         if self._links > MOST_LINKS:
             return "too many links"
@@ -255,8 +259,8 @@
             if hello.role == "keeper":
                 if await self._met(hello.name, hello.birth):
                     await self._talk(link, hello.name)
-            elif hello.role == "front" and self.fronts is not None:
-                await self.fronts(link, hello)
+            elif serve := self.serves.get(hello.role):
+                await serve(link, hello)
             else:
                 await self._answer_calls(link)
         except Stranger as fault:
@@ -306,7 +310,7 @@
             if isinstance(what, calls.Status):
                 return self.standing()
             if isinstance(what, Swap):
-                why = self.fault(what)
+                why = next((why for fault in self.faults if (why := fault(what))), "")
                 return calls.Failed(why) if why else await self.swap(what)
             if isinstance(what, calls.Get):
                 await self.confirm()
@@ -316,7 +320,11 @@
                 return calls.Found(found)
             if isinstance(what, calls.Progress):
                 await self.confirm()
-                return calls.Told(json.dumps(self.progress()).encode())
+                told = {key: value for part in self.progress for key, value in part().items()}
+                return calls.Told(json.dumps(told).encode())
+            if isinstance(what, calls.Collect):
+                await self.confirm()
+                return self.collect()
             if isinstance(what, calls.Change):
                 await self.change(what)
             elif self.member.role is not Role.LEADER:
--- a/zincladder/agreement/registers.py
+++ b/zincladder/agreement/registers.py
@@ -22,12 +22,20 @@
     data: bytes
 
 
+class Guard(msgspec.Struct, frozen=True, array_like=True):
+    """Another register, and the version that it has to have when the entry is applied: a fence in the log."""
+
+    key: str
+    version: int
+
+
 class Swap(msgspec.Struct, frozen=True, array_like=True, tag="swap"):
     """Sets a register if it has this version; 0 where there is none. None as data removes it."""
 
     key: str
     expected: int
     data: bytes | None
+    guard: Guard | None = None
 
 
 class Swapped(msgspec.Struct, frozen=True, array_like=True, tag="swapped"):
@@ -48,7 +56,13 @@
     why: str
 
 
-Result = Swapped | Missed | Full
+class Fenced(msgspec.Struct, frozen=True, array_like=True, tag="fenced"):
+    """Nothing was done: the guard has another version, which is told."""
+
+    version: int
+
+
+Result = Swapped | Missed | Full | Fenced
 
 
 class Registers:
@@ -76,6 +90,10 @@
             swap: Swap = msgspec.msgpack.decode(data, type=Swap)
         except (msgspec.DecodeError, UnicodeDecodeError) as fault:
             return Full(f"no swap: {fault}")
+        if swap.guard is not None:
+            guarding = self._values.get(swap.guard.key)
+            if (guarding.version if guarding else 0) != swap.guard.version:
+                return Fenced(guarding.version if guarding else 0)
         old = self._values.get(swap.key)
         standing = old.version if old else 0
         if swap.expected != standing:
--- a/zincladder/cli/__init__.py
+++ b/zincladder/cli/__init__.py
@@ -12,6 +12,7 @@
 
 from zincladder.cli.admission import admission
 from zincladder.cli.day import ready, stats
+from zincladder.cli.duties import duties
 from zincladder.cli.keep import keep, keepers
 from zincladder.cli.policy import policy
 
@@ -62,5 +63,5 @@
     sys.exit(0 if good else 1)
 
 
-for command in (admission, keep, keepers, policy, ready, stats):
+for command in (admission, duties, keep, keepers, policy, ready, stats):
     main.add_command(command)
--- a/zincladder/cli/keep.py
+++ b/zincladder/cli/keep.py
@@ -75,18 +75,36 @@
     from zincladder.agreement.host import Keeper
     from zincladder.agreement.model import Members
     from zincladder.agreement.store import Store
+    from zincladder.agreement.terms import Terms
+    from zincladder.ownership.host import Stewarding
     from zincladder.policy.host import Conducting
-    from zincladder.policy.model import Terms
 
     store = Store(config.directory, config.group, config.name, Members(config.founders))
     try:
         keeper, lease = Keeper(config, store), config.lease
-        terms = Terms(lease.seconds, lease.renew_s, lease.drift, lease.check_s, lease.clear_s, lease.least)
+        terms = Terms(
+            lease.seconds,
+            lease.renew_s,
+            lease.drift,
+            lease.check_s,
+            lease.clear_s,
+            lease.least,
+            lease.act_s,
+        )
         conducting = Conducting(keeper, terms)
+        stewarding = Stewarding(keeper, terms)
         with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
             async with anyio.create_task_group() as tasks:
                 await tasks.start(keeper.run)
                 tasks.start_soon(conducting.run)
+                tasks.start_soon(stewarding.run)
+                if config.metrics:
+                    from zincladder.metrics.endpoint import Endpoint
+                    from zincladder.metrics.keeper import Few, KeeperRegistry
+
+                    told = Endpoint(config.metrics, KeeperRegistry(keeper, conducting, stewarding), Few())
+                    where = await tasks.start(told.run)
+                    structlog.get_logger().info("metrics", listen=where)
                 async for _ in signals:
                     break
                 await keeper.step_aside(ASIDE)
--- a/zincladder/config/__init__.py
+++ b/zincladder/config/__init__.py
@@ -324,6 +324,16 @@
     go_on: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class DutiesConfig:
+    """Where a front takes part in the fleet's work, and which duties it would own."""
+
+    group: str
+    keepers: dict[str, str]
+    wants: tuple[str, ...]
+    figures: RemoteWriteConfig | None = None  # where the fleet's sums go
+
+
 @dataclass(frozen=True, slots=True)
 class Operator:
     """The operator's file: all that is off without it."""
@@ -334,6 +344,7 @@
     admission: Limits | None = None
     control: str | None = None  # the path of the unix socket that operators' commands use
     policy: PolicyConfig | None = None
+    duties: DutiesConfig | None = None
 
 
 def read_operator(path: str | Path) -> dict[str, Any]:
--- a/zincladder/config/keeper.py
+++ b/zincladder/config/keeper.py
@@ -26,6 +26,7 @@
     check_s: Annotated[float, Meta(ge=0.1, le=600)] = 3.0
     clear_s: Annotated[float, Meta(ge=0.02, le=60)] = 0.3
     least: Annotated[float, Meta(ge=0, lt=1)] = 0.5
+    act_s: Annotated[float, Meta(ge=0, le=60)] = 0.2
 
 
 class KeeperTable(msgspec.Struct, forbid_unknown_fields=True):
@@ -39,6 +40,7 @@
     via: dict[Name, Place] = {}
     heartbeat_ms: Annotated[float, Meta(ge=5, le=10_000)] = 100.0
     election_ms: Annotated[float, Meta(ge=50, le=60_000)] = 1000.0
+    metrics: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -59,6 +61,7 @@
     heartbeat: float
     election: float
     lease: LeaseTable
+    metrics: Address | None  # where they are told; None: nowhere
 
 
 def _place(text: str, key: str) -> Address:
@@ -85,6 +88,8 @@
     lease = _read(data, "lease", LeaseTable)
     if lease.seconds < 3 * lease.renew_s:
         raise ConfigError("'lease.seconds' must be at least three times 'renew_s'")
+    if lease.seconds * (1 - lease.drift) - lease.act_s < 2 * lease.renew_s:
+        raise ConfigError("'lease.act_s' must leave two times 'renew_s' of the lease")
     for key, places in (("members", table.members), ("via", table.via)):
         for name, where in places.items():
             _place(where, f"keeper.{key}.{name}")
@@ -104,4 +109,5 @@
         table.heartbeat_ms / 1000,
         table.election_ms / 1000,
         lease,
+        _place(table.metrics, "keeper.metrics") if table.metrics else None,
     )
--- a/zincladder/config/operator.py
+++ b/zincladder/config/operator.py
@@ -18,6 +18,7 @@
     Address,
     ConfigError,
     DnsConfig,
+    DutiesConfig,
     Host,
     Names,
     Operator,
@@ -84,6 +85,23 @@
     cut_off: Literal["stop", "go_on"] = "stop"
 
 
+class FiguresTable(msgspec.Struct, forbid_unknown_fields=True):
+    """[duties.figures]"""
+
+    url: str
+    every_s: Annotated[float, Meta(ge=0.2, le=3600)] = 15.0
+    version: Annotated[int, Meta(ge=1, le=2)] = 2
+
+
+class DutiesTable(msgspec.Struct, forbid_unknown_fields=True):
+    """[duties]"""
+
+    group: Annotated[str, Meta(min_length=1, max_length=64)]
+    keepers: dict[str, str]
+    wants: list[Literal["figures"]] = []
+    figures: FiguresTable | None = None
+
+
 class NetworkTable(msgspec.Struct, forbid_unknown_fields=True):
     """[[admission.network]]"""
 
@@ -126,6 +144,7 @@
     "admission": AdmissionTable,
     "control": ControlTable,
     "policy": PolicyTable,
+    "duties": DutiesTable,
 }
 AT = re.compile(r" - at `\$(.*)`$")
 FIELD = re.compile(r"Object (?:missing required|contains unknown) field `([^`]*)`")
@@ -260,11 +279,26 @@
     )
 
 
+def _keepers(places: dict[str, str], key: str) -> None:
+    if not places:
+        raise ConfigError(f"'{key}' must name the keepers of the group")
+    for name, where in places.items():
+        _address(where, f"{key}.{name}")
+
+
+def _duties(table: DutiesTable) -> DutiesConfig:
+    _keepers(table.keepers, "duties.keepers")
+    to = None
+    if table.figures is not None:
+        pushes = RemoteWriteTable(table.figures.url, table.figures.every_s, version=table.figures.version)
+        to = _remote_write(pushes, "duties.figures")
+    if "figures" in table.wants and to is None:
+        raise ConfigError("'duties.figures' must say where the figures go, or 'wants' must not name them")
+    return DutiesConfig(table.group, table.keepers, tuple(table.wants), to)
+
+
 def _policy(table: PolicyTable) -> PolicyConfig:
-    if not table.keepers:
-        raise ConfigError("'policy.keepers' must name the keepers of the group")
-    for name, where in table.keepers.items():
-        _address(where, f"policy.keepers.{name}")
+    _keepers(table.keepers, "policy.keepers")
     return PolicyConfig(table.group, table.keepers, table.cut_off == "go_on")
 
 
@@ -281,6 +315,7 @@
     admission = _table(data, "admission", AdmissionTable)
     control = _table(data, "control", ControlTable)
     policy = _table(data, "policy", PolicyTable)
+    duties = _table(data, "duties", DutiesTable)
     return Operator(
         _dns(dns, names) if dns else None,
         _address(metrics.listen, "metrics.listen") if metrics else None,
@@ -288,6 +323,7 @@
         _admission(admission) if admission and admission.enabled else None,
         control.socket if control else None,
         _policy(policy) if policy else None,
+        _duties(duties) if duties else None,
     )
 
 
--- a/zincladder/control/figures.py
+++ b/zincladder/control/figures.py
@@ -3,13 +3,21 @@
 from __future__ import annotations
 
 from collections.abc import Iterator, Mapping
+from typing import Protocol
 
 from zincladder.core.engine import Core
 
 KINDS = {"succeeded": "served", "declined": "refused", "aborted": "failed"}
 
 
-def figures(core: Core, policy: Mapping[str, float] | None = None) -> Iterator[tuple[str, int]]:
+class Counts(Protocol):
+    """A part that a front may have."""
+
+    def figures(self) -> Mapping[str, float]:
+        """Names and values."""
+
+
+def figures(core: Core, **parts: Counts | None) -> Iterator[tuple[str, int]]:
     """Each name and its value; all classes are there from the start, whether or not they have counted yet."""
     counted = core.figures
     for klass in counted.classes:
@@ -22,5 +30,6 @@
     yield "ejected", core.avoided()
     yield "sighup_applied", core.counts["reloads", "applied"]
     yield "sighup_rejected", core.counts["reloads", "rejected"]
-    for name, value in (policy or {}).items():
-        yield f"policy_{name}", int(value)
+    for part, counts in parts.items():
+        for name, value in counts.figures().items() if counts else ():
+            yield f"{part}_{name}", int(value)
--- a/zincladder/export/sender.py
+++ b/zincladder/export/sender.py
@@ -4,8 +4,7 @@
 
 import random
 import time
-from collections.abc import Callable, Iterable, Iterator
-from email.utils import parsedate_to_datetime
+from collections.abc import Callable, Iterator
 from pathlib import Path
 from typing import Protocol, TypeVar
 
@@ -17,15 +16,14 @@
 
 from zincladder.config import ConfigError, RemoteWriteConfig
 from zincladder.export import messages
-from zincladder.export.delivery import Delivery, Fate, Next, Outcome, Rules, retry_after
+from zincladder.export.delivery import Delivery, Fate, Next, Outcome, Rules
+from zincladder.export.push import FAILED, post
 from zincladder.export.spool import Kept, MemoryStore, Spool, SpoolError
 from zincladder.metrics.registry import Sample
 from zincladder.sparing import Sparing
 
 LIMIT = 10.0  # seconds for one push
-MOST_ANSWER = 1 << 16
 SLICE = 200  # series read off before the other tasks have their turn
-WRITTEN = b"x-prometheus-remote-write-samples-written"
 T = TypeVar("T")
 log = structlog.get_logger()
 
@@ -173,14 +171,8 @@
         outcome = Outcome(0)
         try:
             with anyio.fail_after(LIMIT):
-                outcome = await self._post(body, kind, said)
-        except (
-            OSError,
-            TimeoutError,
-            anyio.BrokenResourceError,
-            anyio.EndOfStream,
-            h11.ProtocolError,
-        ) as fault:
+                outcome = await post(self._config, body, kind, said)
+        except (*FAILED, h11.ProtocolError) as fault:
             self._warn.warning("remote write failed", why=str(fault) or type(fault).__name__)
         fate = self._delivery.ended(outcome, len(body), count, anyio.current_time())
         if fate is Fate.REFUSED:
@@ -189,54 +181,3 @@
         if fate in (Fate.SENT, Fate.PARTIAL, Fate.REFUSED):
             async with self._turn:
                 await self._aside(lambda: store.done(kept))
-
-    async def _post(self, body: bytes, kind: str, version: str) -> Outcome:
-        c = self._config
-        host = f"[{c.host}]" if ":" in c.host else c.host
-        headers: Iterable[tuple[str, str]] = [
-            ("Host", f"{host}:{c.port}"),
-            ("Content-Type", kind),
-            ("Content-Encoding", "snappy"),
-            ("X-Prometheus-Remote-Write-Version", version),
-            ("User-Agent", "zincladder"),
-            ("Content-Length", str(len(body))),
-            ("Connection", "close"),
-        ]
-        talk = h11.Connection(h11.CLIENT)
-        async with await anyio.connect_tcp(c.host, c.port) as stream:
-            parts = (
-                h11.Request(method="POST", target=c.path, headers=list(headers)),
-                h11.Data(body),
-                h11.EndOfMessage(),
-            )
-            await stream.send(b"".join(talk.send(part) or b"" for part in parts))
-            got = 0
-            while True:
-                event = talk.next_event()
-                if event is h11.NEED_DATA:
-                    try:
-                        data = await stream.receive()
-                    except anyio.EndOfStream:
-                        data = b""
-                    got += len(data)
-                    if got > MOST_ANSWER:
-                        raise h11.RemoteProtocolError("an answer without end")
-                    talk.receive_data(data)
-                elif isinstance(event, h11.Response):
-                    return _outcome(event)
-                elif isinstance(event, h11.ConnectionClosed):
-                    raise anyio.EndOfStream
-
-
-def _outcome(response: h11.Response) -> Outcome:
-    found = Outcome(int(response.status_code))
-    for name, value in response.headers:
-        if name == b"retry-after":
-            found.retry_after = retry_after(value.decode("latin-1"), time.time(), _unix)
-        elif name == WRITTEN and value.isdigit() and len(value) < 10:
-            found.written = int(value)
-    return found
-
-
-def _unix(text: str) -> float:
-    return parsedate_to_datetime(text).timestamp()
--- a/zincladder/metrics/endpoint.py
+++ b/zincladder/metrics/endpoint.py
@@ -3,26 +3,42 @@
 from __future__ import annotations
 
 from time import monotonic
+from typing import Protocol
 
 import anyio
 import anyio.abc
 import h11
 import structlog
 
-from zincladder.admission.gate import Admission
 from zincladder.admission.ledger import Use
 from zincladder.admission.model import Why
 from zincladder.config import Address
-from zincladder.metrics.registry import Registry
 
 IDLE = 10.0
 log = structlog.get_logger()
 
 
+class Text(Protocol):
+    """What is told."""
+
+    def text(self) -> str:
+        """The text format of Prometheus."""
+
+
+class Visits(Protocol):
+    """Who may ask."""
+
+    def visit(self, use: Use, host: str, now: float) -> Why:
+        """A connection has come: NONE if it may stay."""
+
+    def left(self, use: Use, host: str) -> None:
+        """One that stayed is gone."""
+
+
 class Endpoint:
     """Serves the registry's text until it is cancelled."""
 
-    def __init__(self, listen: Address, registry: Registry, admission: Admission) -> None:
+    def __init__(self, listen: Address, registry: Text, admission: Visits) -> None:
         self._listen, self._registry, self._admission = listen, registry, admission
 
     async def run(self, *, task_status: anyio.abc.TaskStatus[Address] = anyio.TASK_STATUS_IGNORED) -> None:
--- a/zincladder/metrics/registry.py
+++ b/zincladder/metrics/registry.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterator, Mapping
+from collections.abc import Callable, Iterable, Iterator, Mapping
 from dataclasses import dataclass
 
 from zincladder.admission.gate import Admission, Gate
@@ -79,7 +79,14 @@
     "linked": ("zincladder_policy_linked", "1 while there is a link to the leading keeper."),
     "refused": ("zincladder_policy_refused_total", "Requests refused for want of a lease."),
 }
-TABLES = (COUNTERS, ADMISSION, GAUGES, ADMISSION_GAUGES, CACHE, CLASS, POLICY)
+# Of the fleet's duties, where the front takes part in them.
+DUTIES = {
+    "owned": ("zincladder_duties_owned", "Duties that this front owns now."),
+    "lease": ("zincladder_duty_lease_seconds", "Time left of the shortest lease on what it owns."),
+    "linked": ("zincladder_duties_linked", "1 while there is a link to the leading keeper."),
+    "failures": ("zincladder_duty_failures_total", "Times that the work of a duty has failed."),
+}
+TABLES = (COUNTERS, ADMISSION, GAUGES, ADMISSION_GAUGES, CACHE, CLASS, POLICY, DUTIES)
 NAMES = frozenset(row[0] for table in TABLES for row in table.values()) | {PENALTIES, FORWARDS}
 
 
@@ -103,8 +110,9 @@
         admission: Admission,
         processes: Callable[[], int] = lambda: 1,
         policy: Callable[[], Mapping[str, float]] = dict,
+        duties: Callable[[], Mapping[str, float]] = dict,
     ) -> None:
-        self._processes, self._policy = processes, policy
+        self._processes, self._policy, self._duties = processes, policy, duties
         self._core, self._front, self._connected, self._admission = core, front, connected, admission
 
     def samples(self) -> Iterator[Sample]:
@@ -126,6 +134,8 @@
         yield Sample(FORWARDS, (front,), float(self._core.figures.forwards))
         for key, figure in self._policy().items():
             yield Sample(POLICY[key][0], (front,), figure)
+        for key, figure in self._duties().items():
+            yield Sample(DUTIES[key][0], (front,), figure)
         yield from self._of_admission(front)
         yield from self._of_figures(front)
 
@@ -179,19 +189,27 @@
         kinds[FORWARDS] = ("counter", "Attempts of which the last byte was written.")
         kinds[PENALTIES] = ("counter", "Penalties that sources of connections were given.")
         kinds |= {name: ("gauge", text) for name, text in GAUGES.values()}
-        kinds |= {n: ("counter" if n.endswith("_total") else "gauge", text) for n, text in POLICY.values()}
+        kinds |= {
+            n: ("counter" if n.endswith("_total") else "gauge", text)
+            for n, text in (*POLICY.values(), *DUTIES.values())
+        }
         others = (*ADMISSION_GAUGES.values(), *CACHE.values(), *CLASS.values())
         kinds |= {n: ("counter" if n.endswith("_total") else "gauge", text) for n, _, text in others}
-        lines, seen = [], set()
-        # The text format wants all lines of one name together.
-        for sample in sorted(self.samples(), key=lambda s: s.name):
-            if sample.name not in seen:
-                seen.add(sample.name)
-                kind, text = kinds[sample.name]
-                lines += [f"# HELP {sample.name} {text}", f"# TYPE {sample.name} {kind}"]
-            labels = ",".join(f'{k}="{_escaped(v)}"' for k, v in sample.labels)
-            lines.append(f"{sample.name}{{{labels}}} {sample.value:g}")
-        return "\n".join(lines) + "\n"
+        return exposition(self.samples(), kinds)
+
+
+def exposition(samples: Iterable[Sample], kinds: Mapping[str, tuple[str, str]]) -> str:
+    """The text format of Prometheus; `kinds` gives each name's type and help line."""
+    lines, seen = [], set()
+    # The text format wants all lines of one name together.
+    for sample in sorted(samples, key=lambda s: s.name):
+        if sample.name not in seen:
+            seen.add(sample.name)
+            kind, text = kinds[sample.name]
+            lines += [f"# HELP {sample.name} {text}", f"# TYPE {sample.name} {kind}"]
+        labels = ",".join(f'{k}="{_escaped(v)}"' for k, v in sample.labels)
+        lines.append(f"{sample.name}{{{labels}}} {sample.value:g}")
+    return "\n".join(lines) + "\n"
 
 
 def _escaped(text: str) -> str:
--- /dev/null
+++ b/zincladder/ownership/host.py
@@ -0,0 +1,141 @@
+"""The keepers' side of duties: the steward of whoever leads, its writes, the sums of figures. On anyio."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable
+
+import anyio
+import anyio.abc
+import msgspec
+import structlog
+
+from zincladder.agreement import calls
+from zincladder.agreement.host import Keeper
+from zincladder.agreement.leading import AGAIN, FAULTS, Leading
+from zincladder.agreement.registers import Registers, Swap
+from zincladder.agreement.terms import Terms
+from zincladder.links.clocks import boottime
+from zincladder.ownership.model import DUTIES, PROGRESS, Duty, Elsewhere, FromWorker, Tells, key
+from zincladder.ownership.steward import Steward, Take
+from zincladder.ownership.sums import Sums
+
+log = structlog.get_logger()
+
+
+def duties_of(registers: Registers) -> dict[str, tuple[Duty, int]]:
+    """Each duty with the version of its register, which is its owner's token."""
+    return {
+        name.removeprefix(DUTIES): (msgspec.msgpack.decode(value.data, type=Duty), value.version)
+        for name, value in registers.under(DUTIES).items()
+    }
+
+
+def fault(swap: Swap) -> str:
+    """Why a caller's swap can't be taken, or nothing: owners are made by the leader, progress by owners."""
+    if swap.key.startswith(PROGRESS) and swap.data is not None:
+        duty = swap.key.removeprefix(PROGRESS)
+        return "" if swap.guard and swap.guard.key == key(duty) else "progress needs its duty's token"
+    if not swap.key.startswith(DUTIES):
+        return ""
+    try:
+        duty_now: Duty = msgspec.msgpack.decode(swap.data or b"", type=Duty)
+    except (msgspec.DecodeError, UnicodeDecodeError) as why:
+        return f"no duty: {why}"
+    return "the leader alone names owners" if duty_now.owner else ""
+
+
+class Stewarding(Leading[Steward]):
+    """Gives duties to workers while its keeper leads the group."""
+
+    role = "worker"
+    messages = FromWorker
+
+    def __init__(self, keeper: Keeper, terms: Terms, clock: Callable[[], float] = boottime) -> None:
+        super().__init__(keeper, terms, clock)
+        self.sums = Sums()
+        self._names: dict[int, tuple[str, str]] = {}
+        keeper.faults.append(fault)
+        keeper.collect = self.collect
+
+    def begin(self, since: float, term: int) -> Steward:
+        self.sums = Sums()
+        return Steward(self.terms, since, term)
+
+    def elsewhere(self, leader: str) -> Elsewhere:
+        return Elsewhere(leader)
+
+    def learn(self, part: Steward) -> None:
+        part.knows(duties_of(self.keeper.registers), self.clock())
+
+    def carry_out(self, part: Steward, tasks: anyio.abc.TaskGroup) -> None:
+        wish = part.take()
+        for number, message in wish.say:
+            self.say(number, message)
+        for take in wish.write:
+            tasks.start_soon(self._write, take, part)
+
+    async def _write(self, take: Take, part: Steward) -> None:
+        value = replace_time(take.value, time.time())
+        try:
+            await self.keeper.swap(Swap(key(take.duty), take.expected, msgspec.msgpack.encode(value)))
+        except FAULTS:
+            await anyio.sleep(AGAIN)
+        else:
+            log.info("duty", duty=take.duty, owner=value.owner, left=value.left)
+        if self.part is part:
+            self.read_at = -1  # whatever came of it, the steward goes on from what stands
+        self.wake()
+
+    def hears(self, number: int, message: FromWorker) -> None:
+        part = self.part
+        if isinstance(message, Tells) and part is not None and number in part.workers:
+            worker = part.workers[number]
+            self._names[number] = (worker.name, worker.process)
+            self.sums.told(worker.name, worker.process, message.counters)
+
+    def gone(self, number: int) -> None:
+        if number in self._names:
+            self.sums.gone(*self._names.pop(number))
+
+    def collect(self) -> calls.Collected:
+        """The sums so far, and whose they are: a leader's begin at 0."""
+        term = self.part.term if self.part else 0
+        return calls.Collected(f"{self.keeper.config.name}/{term}", dict(self.sums.totals))
+
+    # Questions ------------------------------------------------------------------------------------
+
+    def figures(self) -> dict[str, float]:
+        """For those who watch the leader."""
+        part = self.part
+        if part is None:
+            return {}
+        owned = [d for d, _ in part.duties.values() if d.owner]
+        open_ones = [d for d, _ in part.duties.values() if not d.owner and not d.paused]
+        return {
+            "workers": float(len(part.workers)),
+            "duties": float(len(owned)),
+            "orphans": float(len(open_ones)),
+        }
+
+    def progress(self) -> dict[str, object]:
+        part, now = self.part, self.clock()
+        if part is None:
+            return {}
+        found = {
+            name: {
+                "owner": duty.owner,
+                "token": token,
+                "lease_s": round(max(0.0, part.free_at(name) - now), 2),
+                "linked": bool(part.owner_link(name)),
+                "paused": duty.paused,
+                "left": duty.left,
+            }
+            for name, (duty, token) in part.duties.items()
+        }
+        return {"duties": found, "workers": sorted({w.name for w in part.workers.values()})}
+
+
+def replace_time(duty: Duty, now: float) -> Duty:
+    """With the time of day, which the steward doesn't know."""
+    return msgspec.structs.replace(duty, at=now)
--- a/zincladder/policy/book.py
+++ b/zincladder/policy/book.py
@@ -8,12 +8,12 @@
 import msgspec
 
 from zincladder.agreement.registers import MOST_VALUE, Swap, Value
+from zincladder.agreement.terms import TERMS
 from zincladder.policy.model import (
     DOCUMENTS,
     MOST_KEPT,
     RECORD,
     ROSTER,
-    TERMS,
     Record,
     document_id,
 )
--- a/zincladder/policy/conductor.py
+++ b/zincladder/policy/conductor.py
@@ -18,6 +18,7 @@
 
 import msgspec
 
+from zincladder.agreement.terms import Terms
 from zincladder.policy.model import (
     MOST_HISTORY,
     MOST_NAMES,
@@ -39,7 +40,6 @@
     Release,
     Released,
     Renew,
-    Terms,
     Waits,
 )
 
@@ -97,7 +97,7 @@
         self._unknown = now + terms.waited  # what a predecessor granted
         self._documents: dict[str, bytes] = {}
         self._against: list[tuple[int, str]] = []  # versions, and why a front can't take them
-        self._since = now  # the phase
+        self.since = now  # when the open change came to its phase, as far as this leader knows
         self._writing = False
         self._wish = Wish()
 
@@ -128,11 +128,11 @@
         if change is None or self._writing:
             return math.inf
         if change.phase is Phase.CHECKING:
-            return self._since + self.terms.check
+            return self.since + self.terms.check
         if change.phase is Phase.CLEARING:
-            return self._since + self.terms.clear
+            return self.since + self.terms.clear
         ends = [until for until, _ in self.holding.values()]
-        return min((u for u in (self._unknown, *ends) if u > self._since), default=math.inf)
+        return min((u for u in (self._unknown, *ends) if u > self.since), default=math.inf)
 
     # The record -----------------------------------------------------------------------------------
 
@@ -148,7 +148,7 @@
         old, self.record, self._at, self.known = self.record, record, at, True
         self.roster, self._documents, self._writing = frozenset(roster), documents, False
         if _stage(old) != _stage(record):
-            self._since = now
+            self.since = now
         if record.open is None:
             self._barred.clear()
         if record.open is None or record.open.phase is not Phase.CLEARING:
@@ -259,7 +259,7 @@
         agreed = {front.name for front in self.fronts.values() if front.answer}
         expected = self.roster | agreed
         enough = len(agreed) > self.terms.least * len(expected) or not expected
-        if (silent or not enough) and now < self._since + self.terms.check:
+        if (silent or not enough) and now < self.since + self.terms.check:
             return
         missing = tuple(sorted(expected - agreed))[:MOST_NAMES]
         if not enough:
@@ -279,7 +279,7 @@
         if not self.holding and now >= self._unknown:
             record = self._closed(change, Outcome.HELD, (), self.record.absent)
             self._write(msgspec.structs.replace(record, version=change.version, document=change.document))
-        elif now >= self._since + self.terms.clear:
+        elif now >= self.since + self.terms.clear:
             # Somebody has not let go: all others go on as before until its lease has run out. It gets no new
             # one, for it may be heard and hear nothing: its askings would then hold the change up for ever.
             self._barred = set(self.holding)
--- a/zincladder/policy/front.py
+++ b/zincladder/policy/front.py
@@ -11,17 +11,15 @@
 from dataclasses import dataclass
 
 import anyio
-import anyio.abc
 import structlog
 
-from zincladder.config import PolicyConfig, address
-from zincladder.links.frames import VERSION, Hello, Stranger
-from zincladder.links.host import FAILED, Link, Outbox, Patience, connect
+from zincladder.config import PolicyConfig
+from zincladder.links.clocks import boottime
+from zincladder.links.frames import VERSION, Hello
+from zincladder.links.leader import LeaderLink
 from zincladder.policy.holder import Holder
-from zincladder.policy.host import boottime
 from zincladder.policy.model import Elsewhere, FromKeeper
 
-MOST_WAITING = 64
 SILENT = 2.5  # askings without a word after which another keeper is tried
 log = structlog.get_logger()
 
@@ -40,13 +38,11 @@
     def __init__(
         self, config: PolicyConfig, name: str, parts: Parts, clock: Callable[[], float] = boottime
     ) -> None:
-        self._config, self._parts, self._clock = config, parts, clock
+        self._parts, self._clock = parts, clock
         self.holder = Holder(clock(), config.go_on)
-        self._hello = Hello(VERSION, config.group, "front", name, os.urandom(8).hex())
-        self._outbox = Outbox(MOST_WAITING)
+        hello = Hello(VERSION, config.group, "front", name, os.urandom(8).hex())
+        self._leader = LeaderLink(config.keepers, hello, FromKeeper, self, random.Random(hello.birth))
         self._due = anyio.Event()
-        self._random = random.Random(self._hello.birth)
-        self._said = ""
         self.refused = 0
 
     # Asked by the front ---------------------------------------------------------------------------
@@ -85,66 +81,25 @@
 
     async def run(self) -> None:
         """Holds a link to whoever leads until it is cancelled."""
-        patience = Patience(self._random.random)
-        names = list(self._config.keepers)
-        self._random.shuffle(names)
-        sent_on = False
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._renewing)
-            while True:
-                name = names[0]
-                names.append(names.pop(0))  # the next one, if this one does not lead
-                leader = ""
-                try:
-                    link, _ = await connect(address(self._config.keepers[name]), self._hello)
-                    try:
-                        leader = await self._linked(link, patience)
-                    finally:
-                        await link.close()
-                except* Stranger as faults:
-                    self._say(f"{name}: {faults.exceptions[0]}")
-                except* FAILED:
-                    pass
-                if leader in names:
-                    names.remove(leader)
-                    names.insert(0, leader)
-                # At once to whom one that does not lead has named, but once: two may name each other a while.
-                sent_on = leader not in ("", name) and not sent_on
-                if not sent_on:
-                    await anyio.sleep(patience.wait())
-
-    def _say(self, why: str) -> None:
-        if why != self._said:  # once for each reason, however often it is tried
-            self._said = why
-            if why:
-                log.error("refused by a keeper", why=why)
-
-    async def _linked(self, link: Link, patience: Patience) -> str:
-        """Talks over one link until it fails; the leader's name if that is another one."""
-        self._outbox.clear()
-        self.holder.link(True, self._clock())
+            await self._leader.run()
+
+    def link(self, up: bool) -> None:
+        self.holder.link(up, self._clock())
         self._due.set()  # it may ask for a lease from now on
-        try:
-            async with anyio.create_task_group() as tasks:
-                tasks.start_soon(self._outbox.send_to, link)
-                self._pump()
-                leader = ""
-                while not leader:
-                    # Guards against a leader that was stopped, and a network that loses all: the link stands.
-                    with anyio.fail_after(SILENT * self.holder.renew):
-                        message: FromKeeper = await link.receive(FromKeeper)
-                    if isinstance(message, Elsewhere):
-                        leader = message.leader
-                        break
-                    patience.met()
-                    self._say("")
-                    self.holder.heard(message, self._clock())
-                    self._pump()
-                tasks.cancel_scope.cancel()
-        finally:
-            self.holder.link(False, self._clock())
-            self._due.set()
-        return leader
+        self._pump()
+
+    def heard(self, message: FromKeeper) -> str | None:
+        if isinstance(message, Elsewhere):
+            return message.leader
+        self.holder.heard(message, self._clock())
+        self._pump()
+        self._due.set()  # it may be due sooner now
+        return None
+
+    def silence(self) -> float:
+        return SILENT * self.holder.renew
 
     async def _renewing(self) -> None:
         while True:
@@ -159,7 +114,7 @@
         while True:
             wish = self.holder.take()
             for message in wish.say:
-                self._outbox.put(message)
+                self._leader.outbox.put(message)
             for check in wish.check:
                 self.holder.checked(check, self._parts.check(check.data))
             for document, data in wish.apply:
@@ -177,6 +132,4 @@
         """An orderly end: lets go, so that a change need not wait for this process's lease."""
         self.holder.end()
         self._pump()
-        with anyio.move_on_after(patience):
-            while self._outbox.waiting:
-                await anyio.sleep(0.005)
+        await self._leader.flush(patience)
--- a/zincladder/policy/holder.py
+++ b/zincladder/policy/holder.py
@@ -132,6 +132,7 @@
         if asked is None or granted.serial <= self._void:
             return
         until, self.renew = asked + granted.believed, granted.renew
+        self._renew_at = min(self._renew_at, now + self.renew)  # the first lease says how often
         if granted.version < self.version or until <= now:
             return
         self.version, self._document = granted.version, granted.document
