Take a port for the upgrade tests that the system gives to nobody else

Seen: one suite run of three, a front could not listen at the port that had been free a moment before: the system had given it to another test's connection. Ports come from below the range that it gives out now, and are tried first.

--- a/tests/processes.py
+++ b/tests/processes.py
@@ -10,6 +10,7 @@
 import itertools
 import json
 import os
+import random
 import signal
 import socket
 import subprocess
@@ -464,9 +465,11 @@
 
 
 def free_port() -> int:
-    """A port that nobody has now, for a process that is to find another's there."""
-    with socket.create_server(("127.0.0.1", 0)) as found:
-        return int(found.getsockname()[1])
+    """A port for processes that are to find each other there: free, and none that the system gives out."""
+    while True:
+        port = random.SystemRandom().randrange(10_000, 30_000)
+        with contextlib.suppress(OSError), socket.create_server(("127.0.0.1", port)):
+            return port
 
 
 def marked(mark: int) -> dict[str, Any]:
