--- a/benchmarks/ownership.py
+++ b/benchmarks/ownership.py
@@ -118,6 +118,8 @@
             registers[take.duty] = (take.value, index)
         if wish.write:
             steward.knows(registers, now)
+        for take in wish.write:
+            steward.wrote(take.duty, now)
         now = round(now + 0.05, 3)
     idle = [counted[s] for s in range(seconds // 2, seconds)]
     return {
--- a/tests/small.py
+++ b/tests/small.py
@@ -28,6 +28,7 @@
     kills: int = 0
     breaks: int = 0
     until: int = 5
+    noise: int = 0  # entries that concern nobody here, and are learned of all the same
 
 
 @dataclass
@@ -135,7 +136,18 @@
         self.settle(place)
 
     def lands(self, n: int) -> None:
-        self.land(self.pending.pop(n))
+        write = self.pending.pop(n)
+        self.land(write)
+        self.knows()
+        self.landed(write)
+        self.conduct()
+
+    def landed(self, write: Any) -> None:
+        """Tells the part that its write is decided, if it has to be told."""
+        del write
+
+    def noted(self) -> None:
+        self.spend(noise=-1)
         self.knows()
         self.conduct()
 
@@ -191,6 +203,8 @@
         """Each thing that may happen next."""
         if self.now < self.left.until:
             yield type(self).passes
+        if self.left.noise:
+            yield type(self).noted
         for n in range(len(self.pending)):
             yield partial(type(self).lands, n=n)
         if self.left.leaders:
--- a/tests/small_duties.py
+++ b/tests/small_duties.py
@@ -54,6 +54,9 @@
             self.index += 1
             self.register = (write.value, self.index)
 
+    def landed(self, write: Take) -> None:
+        self.part.wrote(write.duty, self.time)
+
     def wishes(self) -> tuple[list[tuple[int, Any]], list[Any]]:
         wish = self.part.take()
         return wish.say, wish.write
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -23,8 +23,8 @@
 
 # Many faults of all kinds, and leaders that hardly last.
 WIDE = (
-    Scope(changes=4, leaders=3, kills=3, breaks=4, until=60),
-    Scope(changes=1, leaders=12, kills=1, breaks=2, until=60),
+    Scope(changes=4, leaders=3, kills=3, breaks=4, until=60, noise=20),
+    Scope(changes=1, leaders=12, kills=1, breaks=2, until=60, noise=20),
 )
 
 
@@ -238,6 +238,8 @@
                 self.registers[take.duty] = (take.value, self.index)
             if wish.write:
                 self.steward.knows(self.registers, self.now)
+            for take in wish.write:
+                self.steward.wrote(take.duty, self.now)
 
     def owner(self) -> str:
         return self.registers["a"][0].owner
@@ -254,6 +256,24 @@
     assert lead.owner() == first
 
 
+def test_nobody_gets_a_lease_while_a_duty_changes_hands_whatever_else_is_decided_meanwhile() -> None:
+    # any entry that was learned of ended the wait for this one: both would have acted
+    lead = Lead("x", "y")
+    number, token = lead.steward.owner_link("a"), lead.registers["a"][1]
+    lead.now += TERMS.waited + 0.1
+    lead.steward.tick(lead.now)
+    (take,) = lead.steward.take().write
+    lead.steward.knows(lead.registers, lead.now)  # of something else
+    lead.steward.heard(number, Keeps(1, (("a", token),)), lead.now)
+    wish = lead.steward.take()
+    assert not wish.write and [m for _, m in wish.say] == [Lent(1, (), TERMS.owned, TERMS.renew)]
+    lead.registers["a"] = (take.value, token + 1)
+    lead.steward.knows(lead.registers, lead.now)
+    lead.steward.wrote("a", lead.now)
+    lead.hears(3 - number, Keeps(1, (("a", token + 1),)))
+    assert lead.said[-1][1] == Lent(1, (("a", token + 1),), TERMS.owned, TERMS.renew)
+
+
 def test_the_only_one_there_is_keeps_its_duty_however_long_it_says_nothing() -> None:
     lead = Lead("x")
     token = lead.registers["a"][1]
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -119,8 +119,8 @@
 
 # Many faults of all kinds, and leaders that hardly last.
 WIDE = (
-    Scope(changes=6, leaders=3, kills=3, breaks=4, until=60),
-    Scope(changes=3, leaders=12, kills=1, breaks=2, until=60),
+    Scope(changes=6, leaders=3, kills=3, breaks=4, until=60, noise=20),
+    Scope(changes=3, leaders=12, kills=1, breaks=2, until=60, noise=20),
 )
 
 
--- a/zincladder/metrics/registry.py
+++ b/zincladder/metrics/registry.py
@@ -85,6 +85,7 @@
     "lease": ("zincladder_duty_lease_seconds", "Time left of the shortest lease on what it owns."),
     "linked": ("zincladder_duties_linked", "1 while there is a link to the leading keeper."),
     "failures": ("zincladder_duty_failures_total", "Times that the work of a duty has failed."),
+    "fenced": ("zincladder_duty_fenced_total", "Effects of this front that a fence refused."),
 }
 TABLES = (COUNTERS, ADMISSION, GAUGES, ADMISSION_GAUGES, CACHE, CLASS, POLICY, DUTIES)
 NAMES = frozenset(row[0] for table in TABLES for row in table.values()) | {PENALTIES, FORWARDS}
--- a/zincladder/ownership/figures.py
+++ b/zincladder/ownership/figures.py
@@ -86,5 +86,5 @@
         except (*FAILED, h11.ProtocolError) as fault:
             log.info("fleet's figures not pushed", why=str(fault) or type(fault).__name__)
         if outcome.status == FENCED:
-            log.warning("refused by a fence", duty=hand.duty, at="receiver")
+            hand.fenced("receiver")
         self.pushed += 200 <= outcome.status < 300
--- a/zincladder/ownership/host.py
+++ b/zincladder/ownership/host.py
@@ -11,9 +11,10 @@
 import structlog
 
 from zincladder.agreement import calls
-from zincladder.agreement.host import Keeper
-from zincladder.agreement.leading import AGAIN, FAULTS, Leading
-from zincladder.agreement.registers import Registers, Swap
+from zincladder.agreement.host import Keeper, Undecided
+from zincladder.agreement.leading import AGAIN, Leading
+from zincladder.agreement.member import Busy, NotLeader
+from zincladder.agreement.registers import Registers, Swap, Swapped
 from zincladder.agreement.terms import Terms
 from zincladder.links.clocks import boottime
 from zincladder.ownership.model import DUTIES, PROGRESS, Duty, Elsewhere, FromWorker, Tells, key
@@ -77,14 +78,24 @@
 
     async def _write(self, take: Take, part: Steward) -> None:
         value = replace_time(take.value, time.time())
-        try:
-            await self.keeper.swap(Swap(key(take.duty), take.expected, msgspec.msgpack.encode(value)))
-        except FAULTS:
-            await anyio.sleep(AGAIN)
-        else:
-            log.info("duty", duty=take.duty, owner=value.owner, left=value.left)
-        if self.part is part:
-            self.read_at = -1  # whatever came of it, the steward goes on from what stands
+        swap = Swap(key(take.duty), take.expected, msgspec.msgpack.encode(value))
+        open_ones = False
+        while self.part is part:
+            try:
+                result = await self.keeper.swap(swap)
+            except Undecided:
+                open_ones = True  # the log keeps their order: what becomes of the next tells of this one too
+                continue
+            except (NotLeader, Busy):
+                await anyio.sleep(AGAIN)
+                if open_ones:
+                    continue
+            else:
+                if isinstance(result, Swapped) or open_ones:
+                    log.info("duty", duty=take.duty, owner=value.owner, left=value.left)
+            self.learns(part)
+            part.wrote(take.duty, self.clock())
+            break
         self.wake()
 
     def hears(self, number: int, message: FromWorker) -> None:
--- a/zincladder/ownership/steward.py
+++ b/zincladder/ownership/steward.py
@@ -109,7 +109,14 @@
             if duty.owner:
                 self.lent[name] = (token, now + self.terms.waited)
         self.duties, self.known = dict(duties), True
-        self._writing.clear()
+        self._go_on(now)
+
+    def wrote(self, duty: str, now: float) -> None:
+        """What was to be written of a duty has been decided, or will never be.
+
+        Until then nobody gets a lease on it: whom it is taken from would have one past its successor's turn.
+        """
+        self._writing.discard(duty)
         self._go_on(now)
 
     # Workers --------------------------------------------------------------------------------------
--- a/zincladder/ownership/worker.py
+++ b/zincladder/ownership/worker.py
@@ -66,8 +66,8 @@
             match said:
                 case Swapped(version):
                     return version
-                case Fenced(version):
-                    log.warning("refused by a fence", duty=self.duty, at="log", newer=version)
+                case Fenced():
+                    self.fenced("log")
                     raise Lost(self.duty)
                 case Missed(version) if version != expected:
                     # Perhaps this very write, whose answer was lost: nobody else writes under this token.
@@ -77,6 +77,11 @@
             self.token()
             await anyio.sleep(AGAIN[0])
 
+    def fenced(self, where: str) -> None:
+        """An effect of this owner's was refused because a newer one has worked there."""
+        self._worker.fenced += 1
+        log.warning("refused by a fence", duty=self.duty, at=where)
+
     async def collect(self) -> calls.Collected:
         """The sums of what all processes have told the leader."""
         said = await self._worker.client().ask(calls.Collect())
@@ -108,7 +113,7 @@
         self._due = anyio.Event()
         self._scopes: dict[str, anyio.CancelScope] = {}
         self._tasks: anyio.abc.TaskGroup | None = None
-        self.failures = 0
+        self.failures = self.fenced = 0
 
     def acting(self, duty: str) -> int:
         return self.owner.acting(duty, self._clock())
@@ -117,7 +122,7 @@
         return Client(self._config.group, self._config.keepers, self._name)
 
     def figures(self) -> dict[str, float]:
-        """For those who watch: duties owned now, the shortest lease left, and work that failed."""
+        """For those who watch: duties owned now, the shortest lease left, work that failed or came late."""
         now = self._clock()
         left = [self.owner.left(d, now) for d in self.owner.held if self.owner.acting(d, now)]
         return {
@@ -125,6 +130,7 @@
             "lease": round(min(left, default=0.0), 3),
             "linked": float(self.owner.linked),
             "failures": float(self.failures),
+            "fenced": float(self.fenced),
         }
 
     # Running --------------------------------------------------------------------------------------
