Let a worker of the fleet's duties rest while nothing is due, and miss its keeper sooner while it owns

Seen in the first measurement of duties: a front that only waited took 97% of a core, the owner 92%. Cause: Worker._pump woke the very loop that had called it. And an owner that was heard but heard nothing kept its duty for 4.5 s with a lease of 1.5 s: it waited for 2.5 idle askings before it gave the link up; an owner asks five times as often, and now counts by that.

--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from typing import Any
 
+import anyio
 import msgspec
 import pytest
 from hypothesis import given
@@ -14,12 +15,14 @@
 from tests.small import Scope, search, walk
 from tests.small_duties import TERMS, SmallDuties, taken_over
 from zincladder.agreement.registers import Fenced, Missed, Registers, Swap, Swapped
+from zincladder.config import DutiesConfig
 from zincladder.ownership.fence import MOST_DUTIES, Fence
 from zincladder.ownership.host import fault
 from zincladder.ownership.model import Duty, GivesBack, Keeps, Lent, Stop, Wants, Yours, checkpoint, key
 from zincladder.ownership.owner import Held, Owner
 from zincladder.ownership.steward import Steward
 from zincladder.ownership.sums import Sums, Totals, next_time
+from zincladder.ownership.worker import Worker
 
 # Many faults of all kinds, and leaders that hardly last.
 WIDE = (
@@ -414,6 +417,22 @@
     assert found == [100_000, 101_000, 102_000, 103_000, 104_000, 130_000]
 
 
+@pytest.mark.anyio
+async def test_a_worker_that_has_nothing_to_do_does_nothing(monkeypatch: pytest.MonkeyPatch) -> None:
+    # measured: it woke itself up, and a front that only waited took a whole core
+    worker = Worker(DutiesConfig("g", {"k1": "127.0.0.1:1"}, ()), "f0", {}, dict)
+    ticks, tick = [], worker.owner.tick
+
+    def counted(now: float) -> None:
+        ticks.append(now)
+        tick(now)
+
+    monkeypatch.setattr(worker.owner, "tick", counted)
+    with anyio.move_on_after(0.3):
+        await worker.run(anyio.Event())
+    assert 0 < len(ticks) < 10
+
+
 def test_a_held_duty_is_known_by_its_token_alone() -> None:
     owner = owning()
     owner.heard(Yours("a", 5), 100.5)  # late, of an older turn
--- a/zincladder/ownership/owner.py
+++ b/zincladder/ownership/owner.py
@@ -70,6 +70,11 @@
         held = self.held.get(duty)
         return max(0.0, held.until - now) if held else 0.0
 
+    @property
+    def between(self) -> float:
+        """Seconds between two askings."""
+        return self.renew * (1 if self.held else IDLE)
+
     # Events ---------------------------------------------------------------------------------------
 
     @property
@@ -95,7 +100,7 @@
             self._renew(now)
 
     def _renew(self, now: float) -> None:
-        self._renew_at = now + self.renew * (1 if self.held else IDLE)
+        self._renew_at = now + self.between
         self._serial += 1
         self._asked[self._serial] = now
         while len(self._asked) > MOST_ASKED:
@@ -125,7 +130,7 @@
         if asked is None:
             return
         self.renew = lent.renew
-        self._renew_at = min(self._renew_at, now + self.renew * (1 if self.held else IDLE))
+        self._renew_at = min(self._renew_at, now + self.between)
         granted, until = dict(lent.held), asked + lent.believed
         for duty, held in list(self.held.items()):
             if held.since >= lent.serial:
--- a/zincladder/ownership/worker.py
+++ b/zincladder/ownership/worker.py
@@ -21,7 +21,7 @@
 from zincladder.links.frames import VERSION, Hello
 from zincladder.links.leader import LeaderLink
 from zincladder.ownership.model import Elsewhere, FromKeeper, Tells, checkpoint, progress_key
-from zincladder.ownership.owner import IDLE, Owner
+from zincladder.ownership.owner import Owner
 
 SILENT = 2.5  # askings without a word after which another keeper is tried
 AGAIN = (0.2, 5.0)  # seconds after work that failed, doubled from the first to the second
@@ -157,16 +157,18 @@
     def link(self, up: bool) -> None:
         self.owner.link(up, self._clock())
         self._pump()
+        self._due.set()  # it may be due sooner now
 
     def heard(self, message: FromKeeper) -> str | None:
         if isinstance(message, Elsewhere):
             return message.leader
         self.owner.heard(message, self._clock())
         self._pump()
+        self._due.set()
         return None
 
     def silence(self) -> float:
-        return SILENT * IDLE * self.owner.renew
+        return SILENT * self.owner.between
 
     async def _renewing(self) -> None:
         while True:
@@ -193,7 +195,6 @@
             assert self._tasks is not None
             scope = self._scopes[duty] = anyio.CancelScope()
             self._tasks.start_soon(self._work, duty, scope)
-        self._due.set()
 
     async def _work(self, duty: str, scope: anyio.CancelScope) -> None:
         """Does a duty's work for as long as this process owns it; work that fails is begun anew."""
