Bound what processes tell of their counters, and tell an owner when its progress finds no room

Seen on rereading: a process may tell up to 1 MB of counters, which the leader kept for each of 2,048; the sums of more than some 1,800 series would not have fitted a register, and the owner would have tried to keep them for ever without a word.

--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -14,14 +14,23 @@
 from tests.simulated import Broken
 from tests.small import Scope, search, walk
 from tests.small_duties import TERMS, SmallDuties, taken_over
-from zincladder.agreement.registers import Fenced, Missed, Registers, Swap, Swapped
+from zincladder.agreement.registers import MOST_VALUE, Fenced, Missed, Registers, Swap, Swapped
 from zincladder.config import DutiesConfig
 from zincladder.ownership.fence import MOST_DUTIES, Fence
 from zincladder.ownership.host import fault
 from zincladder.ownership.model import Duty, GivesBack, Keeps, Lent, Stop, Wants, Yours, checkpoint, key
 from zincladder.ownership.owner import Held, Owner
 from zincladder.ownership.steward import Steward
-from zincladder.ownership.sums import Sums, Totals, next_time
+from zincladder.ownership.sums import (
+    MOST_PROCESSES,
+    MOST_SERIES,
+    MOST_TOLD,
+    Sums,
+    Totals,
+    next_time,
+    packed,
+    unpacked,
+)
 from zincladder.ownership.worker import Worker
 
 # Many faults of all kinds, and leaders that hardly last.
@@ -409,6 +418,24 @@
     assert dict(sums.totals) == {"s": 9.0, "t": 2.0}
 
 
+def test_the_sums_of_a_large_fleet_fit_a_register_and_nobody_makes_them_grow_without_end() -> None:
+    sums = Sums()
+    for turn in range(2):  # 400 caches with five ends each
+        names = [
+            f"zincladder_fleet_cache_attempts_total\0s-{n:08x}\0end{e}" for n in range(400) for e in range(5)
+        ]
+        sums.told("x", "p", {name: 1e6 * turn + i for i, name in enumerate(names)})
+    kept = Totals().grown("k1/7", sums.totals, 1)
+    assert len(kept.totals) == 2000 and len(packed(kept)) < MOST_VALUE // 2
+    assert unpacked(packed(kept)) == kept and unpacked(b"") == Totals()
+    for process in range(2 * MOST_PROCESSES):
+        sums.told(
+            "y", f"p{process}", {f"{process} {i}": 1.0 for i in range(2 * MOST_TOLD if process < 5 else 9)}
+        )
+    assert len(sums._last) == MOST_PROCESSES and max(map(len, sums._last.values())) == MOST_TOLD
+    assert len(sums.totals) <= MOST_SERIES and sums.left_out
+
+
 def test_the_times_of_samples_are_even_and_rise_whatever_the_clock_does() -> None:
     at, found = 0, []
     for now in (100_400, 101_100, 102_900, 50_000, 50_900, 130_000):  # it is set back, and forward
--- a/zincladder/ownership/figures.py
+++ b/zincladder/ownership/figures.py
@@ -13,7 +13,6 @@
 
 import anyio
 import h11
-import msgspec
 import structlog
 
 from zincladder.config import RemoteWriteConfig
@@ -21,7 +20,7 @@
 from zincladder.export.delivery import Outcome
 from zincladder.export.push import FAILED, post
 from zincladder.metrics.registry import Sample
-from zincladder.ownership.sums import Totals, next_time
+from zincladder.ownership.sums import Totals, next_time, packed, unpacked
 from zincladder.ownership.worker import Hand
 
 FENCE = "X-Zincladder-Fence"  # "DUTY TOKEN", for a receiver that remembers the highest token of each duty
@@ -59,14 +58,14 @@
         """Until it is cancelled, or Lost."""
         every = int(1000 * self._config.every)
         version, data = await hand.progress()
-        totals = msgspec.msgpack.decode(data, type=Totals) if data else Totals()
+        totals = unpacked(data)
         while True:
             at = next_time(totals.at, int(1000 * self._clock()), every)
             wait = min(at / 1000 - self._clock(), self._config.every)
             await anyio.sleep(max(0.0, wait))
             sums = await hand.collect()
             totals = totals.grown(sums.epoch, sums.totals, at)
-            version = await hand.keep(version, msgspec.msgpack.encode(totals))
+            version = await hand.keep(version, packed(totals))
             await self._push(hand, totals)
 
     async def _push(self, hand: Hand, totals: Totals) -> None:
--- a/zincladder/ownership/sums.py
+++ b/zincladder/ownership/sums.py
@@ -10,10 +10,12 @@
 from collections import Counter
 from collections.abc import Mapping
 
+import cramjam
 import msgspec
 
 MOST_SERIES = 4096
-MOST_PROCESSES = 2048
+MOST_PROCESSES = 512
+MOST_TOLD = 2048  # counters of one process
 MOST_NAME = 200
 
 
@@ -30,6 +32,9 @@
         before = self._last.get((name, process))
         if before is None and len(self._last) >= MOST_PROCESSES:
             return
+        if len(counters) > MOST_TOLD:  # names are what a process says they are
+            self.left_out += len(counters) - MOST_TOLD
+            counters = dict(list(counters.items())[:MOST_TOLD])
         fit = {k: v for k, v in counters.items() if len(k) <= MOST_NAME and 0.0 <= v < 1e18}
         self._last[name, process] = fit
         for series, value in fit.items():
@@ -62,6 +67,18 @@
         return Totals(at, epoch, dict(sums), totals)
 
 
+def packed(totals: Totals) -> bytes:
+    """As progress: names that look alike take little room."""
+    return bytes(cramjam.snappy.compress_raw(msgspec.msgpack.encode(totals)))
+
+
+def unpacked(data: bytes) -> Totals:
+    """What was packed; nothing yet for no bytes."""
+    if not data:
+        return Totals()
+    return msgspec.msgpack.decode(bytes(cramjam.snappy.decompress_raw(data)), type=Totals)
+
+
 def next_time(last: int, now: int, every: int) -> int:
     """The time of the next samples, ms: even, later than the last whatever a clock that was set says."""
     return max(now // every * every, last + every)
--- a/zincladder/ownership/worker.py
+++ b/zincladder/ownership/worker.py
@@ -15,7 +15,7 @@
 
 from zincladder.agreement import calls
 from zincladder.agreement.client import Client, NoAnswer, Open
-from zincladder.agreement.registers import Fenced, Missed, Swapped
+from zincladder.agreement.registers import Fenced, Full, Missed, Swapped
 from zincladder.config import DutiesConfig
 from zincladder.links.clocks import boottime
 from zincladder.links.frames import VERSION, Hello
@@ -33,6 +33,10 @@
     """This process may not act on the duty any more, or not now."""
 
 
+class NoRoom(Exception):
+    """The group can't keep so much progress; the text says what there is no room for."""
+
+
 class Hand:
     """What a piece of work holds while its process owns the duty."""
 
@@ -56,7 +60,10 @@
         return (found.version, found.data) if found else (0, b"")
 
     async def keep(self, expected: int, data: bytes) -> int:
-        """Keeps progress, if this still is the owner when the group writes it; its version. Else Lost."""
+        """Keeps progress, if this still is the owner when the group writes it; its version. Else Lost.
+
+        NoRoom where it is too much.
+        """
         swap = checkpoint(self.duty, self.token(), expected, data)
         while True:
             try:
@@ -69,6 +76,8 @@
                 case Fenced():
                     self.fenced("log")
                     raise Lost(self.duty)
+                case Full(why):
+                    raise NoRoom(why)
                 case Missed(version) if version != expected:
                     # Perhaps this very write, whose answer was lost: nobody else writes under this token.
                     if (await self.progress()) == (version, data):
