Free no duty on a word about a token that was never lent; tell an owner on its latest link

Found on rereading. An owner with a half-open older link was told there, where nothing arrives (Steward.owner_link took the first). Sums that were asked for between two terms of one keeper would have been the earlier term's under another epoch, counted twice (Stewarding.collect); it says that it is not ready. The first two have step tests that fail without the change; the third has none yet. None of it is loaded by a front without [duties].

--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -314,6 +314,28 @@
     assert lead.owner() == "z"
 
 
+def test_a_word_on_a_token_that_was_never_lent_frees_nothing_and_is_not_kept() -> None:
+    # guards what a former leader may have lent; and names are what a worker says they are
+    steward = Steward(TERMS, 100.0)
+    steward.knows({"a": (Duty("x", "p"), 7)}, 100.0)
+    steward.linked(1, "y", "p", 100.0)
+    steward.heard(1, Wants(("a",)), 100.0)
+    for name in ("a", "b", "c"):
+        steward.heard(1, GivesBack(name, 0), 100.0)
+    assert not steward.lent and not steward.take().write
+    steward.tick(100.0 + TERMS.waited)
+    assert steward.take().write
+
+
+def test_an_owner_is_told_on_its_latest_link() -> None:
+    # an older one may be half open: nothing said on it arrives, and nobody hears that it is gone
+    lead = Lead("x")
+    lead.steward.linked(5, "x", "p", lead.now)
+    lead.said.clear()
+    lead.hears(5, Wants(("a",)))
+    assert lead.said == [(5, Yours("a", lead.registers["a"][1]))]
+
+
 def test_what_is_paused_is_nobodys_and_a_wish_comes_first() -> None:
     lead = Lead("x", "y", "z")
     first = lead.owner()
--- a/zincladder/ownership/host.py
+++ b/zincladder/ownership/host.py
@@ -111,8 +111,9 @@
 
     def collect(self) -> calls.Collected:
         """The sums so far, and whose they are: a leader's begin at 0."""
-        term = self.part.term if self.part else 0
-        return calls.Collected(f"{self.keeper.config.name}/{term}", dict(self.sums.totals))
+        if self.part is None:  # what was summed in an earlier term would be counted twice
+            raise Busy("this keeper has only just begun to lead")
+        return calls.Collected(f"{self.keeper.config.name}/{self.part.term}", dict(self.sums.totals))
 
     # Questions ------------------------------------------------------------------------------------
 
--- a/zincladder/ownership/steward.py
+++ b/zincladder/ownership/steward.py
@@ -91,9 +91,9 @@
         return min((t for t in (*waits, *again) if t > self._looked), default=math.inf)
 
     def owner_link(self, duty: str) -> int:
-        """The link of a duty's owner; 0 if there is none."""
+        """The latest link of a duty's owner, as an older one may be dead unheard; 0 if there is none."""
         found = self.duties.get(duty, (Duty(), 0))[0]
-        return next((n for n, worker in self.workers.items() if owns(worker, found)), 0)
+        return max((n for n, worker in self.workers.items() if owns(worker, found)), default=0)
 
     # Registers ------------------------------------------------------------------------------------
 
@@ -157,7 +157,7 @@
             self.lent[duty] = (token, now)
             if duty not in self._writing:
                 self._write(duty, Duty(at=found.at, left=f"given back by {worker.name}"))
-        elif token == self.lent.get(duty, (0, 0.0))[0]:
+        elif duty in self.lent and token == self.lent[duty][0]:
             self.lent[duty] = (token, now)  # from whom a command took it, and who has stopped now
 
     def _lend(
