Look at the client, the repeat window and the connection just before the first byte

Client.waits asks the system. - decide._allowed compares the window at the decision; a repeat whose connection came up after it was written all the same. Order.begin_by is the first attempt's decision plus the window of the class it was taken under. - caches._exchange left the name of a request that was held back open on its connection: never used again nor closed as idle. - caches._usable took a connection whose member had just closed it (a write there may have run: Broken), and one that was still in the middle of an answer that had been given up.

--- a/tests/stands.py
+++ b/tests/stands.py
@@ -223,6 +223,7 @@
     coordinator: Coordinator
     listening: Listening
     tasks: anyio.abc.TaskGroup
+    stopping: anyio.Event = field(default_factory=anyio.Event)  # what SIGTERM sets
 
 
 @contextlib.asynccontextmanager
@@ -246,8 +247,9 @@
         config = config_of(configuration([c.member() for c in caches], coordinator.port, **more))
         known = [h for h in DNS_HOSTS if h["class"] in config.names.classes]  # another site names others
         table = ({"dns": DNS | {"host": known + (hosts or [])}} if known else {}) | (operator or {})
-        listening = await tasks.start(front, config, operator_of(table, config.names), anyio.Event())
-        yield World(caches, coordinator, listening, tasks)
+        stopping = anyio.Event()
+        listening = await tasks.start(front, config, operator_of(table, config.names), stopping)
+        yield World(caches, coordinator, listening, tasks, stopping)
         tasks.cancel_scope.cancel()
 
 
--- /dev/null
+++ b/tests/test_endings.py
@@ -0,0 +1,209 @@
+"""Paths that end something, over loopback sockets: each crossing is forced at a seam, none is waited for."""
+
+from __future__ import annotations
+
+import contextlib
+import copy
+import os
+import socket
+import struct
+from collections.abc import Callable, Iterator
+from typing import Any
+
+import anyio
+import pytest
+from anyio.abc import SocketAttribute
+
+from tests.stands import KEY, SETTINGS, Fetch, Script, StubCache, World, client, serve, world
+from tests.test_front import cut
+from zincladder.core.engine import Clock
+from zincladder.net import caches as cache_side
+from zincladder.net import thrift
+from zincladder.net.caches import Caches
+from zincladder.net.stream import connect
+
+pytestmark = pytest.mark.anyio
+RESET = struct.pack("ii", 1, 0)  # SO_LINGER: close sends a reset
+KEY_32 = "5c0f6e1a2b3d4c59a8b7c6d5e4f30211"
+
+
+@contextlib.contextmanager
+def plain(w: World) -> Iterator[socket.socket]:
+    """A client's socket itself: what is done with it is done before the front runs again."""
+    with socket.create_connection(w.listening.clients) as sock:
+        sock.setblocking(False)
+        yield sock
+
+
+def shut(fetch: Fetch) -> None:
+    """Ends a member's side of a connection at once."""
+    number = fetch.stream.extra(SocketAttribute.raw_socket).fileno()
+    with socket.socket(fileno=os.dup(number)) as sock:
+        sock.shutdown(socket.SHUT_RDWR)
+
+
+def frame(verb: str, seq: int, args: bytes = b"") -> bytes:
+    message = thrift._message(thrift.CALL, verb, seq) + args + b"\0"
+    return struct.pack(">i", len(message)) + message
+
+
+def request(seq: int, **fields: str) -> bytes:
+    said = {
+        "route": "page",
+        "trace": f"{seq:016x}",
+        "patience": "2000",
+        "entity": KEY,
+        "slice": "0",
+        "set": "1",
+    }
+    return frame("handle", seq, b"\x0d\0\1" + thrift._texts(said | fields) + b"\x0b\0\2\0\0\0\0")
+
+
+def on_connect(monkeypatch: pytest.MonkeyPatch, act: Callable[[int], None]) -> None:
+    """Calls `act` with the connection's number when one to a member has come up, before anything is sent."""
+    made = 0
+
+    async def connecting(host: str, port: int) -> socket.socket:
+        nonlocal made
+        sock = await connect(host, port)
+        made += 1
+        act(made)
+        return sock
+
+    monkeypatch.setattr(cache_side, "connect", connecting)
+
+
+# A client that has left ----------------------------------------------------------------------------
+
+
+def _closes(sock: socket.socket) -> None:
+    sock.shutdown(socket.SHUT_RDWR)
+
+
+def _closes_behind_bytes(sock: socket.socket) -> None:
+    sock.sendall(b"\0\0")
+    sock.shutdown(socket.SHUT_RDWR)
+
+
+def _resets(sock: socket.socket) -> None:
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+    sock.close()
+
+
+LEAVES = pytest.mark.parametrize("leave", [_closes, _closes_behind_bytes, _resets])
+
+
+@LEAVES
+@pytest.mark.parametrize("attempt", [1, 2])
+async def test_nothing_is_sent_on_for_a_client_that_left_while_a_connection_came_up(
+    leave: Callable[[socket.socket], None], attempt: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    # its end is in the front's system but was not read yet: only a look just before the first byte sees it
+    leaver: list[socket.socket] = []
+    on_connect(monkeypatch, lambda made: leave(leaver.pop()) if made == attempt else None)
+    script: Script = cut if attempt == 2 else serve
+    async with world(script, script) as w, client(w) as stays:
+        with plain(w) as sock:
+            leaver.append(sock)
+            sock.sendall(request(1))
+            with anyio.fail_after(5):
+                while leaver:
+                    await anyio.sleep(0.001)
+        for cache in w.caches:
+            cache.script = serve
+        await stays.ask(trace="f" * 16)
+        assert (await stays.reply()).kind == "served"
+        sent = [f.name for cache in w.caches for f in cache.fetches]
+        assert sent == [f"{1:016x}"] * (attempt - 1) + ["f" * 16]
+
+
+async def test_a_connection_whose_request_was_held_back_serves_the_next(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    leaver: list[socket.socket] = []
+    on_connect(monkeypatch, lambda made: _closes(leaver.pop()) if leaver else None)
+    async with world(serve) as w, client(w) as stays:
+        with plain(w) as sock:
+            leaver.append(sock)
+            sock.sendall(request(1))
+            with anyio.fail_after(5):
+                while leaver:
+                    await anyio.sleep(0.001)
+        await stays.ask(trace="f" * 16)
+        assert (await stays.reply()).kind == "served" and w.caches[0].connections == 1
+
+
+# Repeats -------------------------------------------------------------------------------------------
+
+
+@pytest.mark.parametrize(("late", "came"), [(0.8, 1), (0.799, 2)])
+async def test_a_repeat_whose_connection_comes_up_after_the_window_is_not_sent(
+    late: float, came: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    now = [1000.0]
+    monkeypatch.setattr(Clock, "now", lambda self: now[0])
+
+    def later(made: int) -> None:
+        now[0] += late * (made == 2)  # the first may have run, and its repeat waits for a connection
+
+    on_connect(monkeypatch, later)
+    settings = copy.deepcopy(SETTINGS)
+    settings["categories"][2] |= {"effect": "deduplicated", "keyScope": "all", "window": 0.8}
+    first: list[Fetch] = []
+
+    async def loses_the_first(_: StubCache, fetch: Fetch) -> None:
+        first.append(fetch)
+        await (cut if len(first) == 1 else serve)(_, fetch)
+
+    async with world(serve, origin=loses_the_first, settings=settings) as w, client(w) as c:
+        await c.ask(b"order", route="booking", nonce=KEY_32)
+        with anyio.fail_after(5):
+            assert (await c.reply()).kind == ("served" if came == 2 else "Throttled")
+        assert len(first) == came
+
+
+# Answers that were given up ------------------------------------------------------------------------
+
+
+async def test_a_connection_in_the_middle_of_an_answer_that_was_given_up_is_not_used_again(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(cache_side, "BROKEN_OFF", 60.0)  # it goes on, byte by byte
+    begun = anyio.Event()
+
+    async def half(_: StubCache, fetch: Fetch) -> None:
+        await fetch.stream.send(f"{fetch.name} 200 tell=local 6\r\nabc".encode())
+        begun.set()
+
+    async with world(half) as w, client(w) as c:
+        seq = await c.ask()
+        await begun.wait()
+        await anyio.wait_all_tasks_blocked()
+        w.caches[0].script = serve
+        await c.withdraw(seq)
+        await c.ask()
+        with anyio.fail_after(5):
+            reply = await c.reply()
+        assert (reply.kind, reply.body) == ("served", KEY.encode())
+        assert [f.name for f in w.caches[0].fetches] == [f"{1:016x}", f"{3:016x}"]
+        assert w.caches[0].fetches[0].stream is not w.caches[0].fetches[1].stream
+
+
+async def test_a_write_is_not_lost_on_a_connection_that_its_member_has_just_closed(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    link = Caches._link
+    idle: list[Fetch] = []
+
+    async def crossing(self: Caches, *asked: Any) -> Any:
+        while idle:
+            shut(idle.pop())
+        return await link(self, *asked)
+
+    monkeypatch.setattr(Caches, "_link", crossing)
+    async with world(serve) as w, client(w) as c:
+        for n in (1, 2):
+            await c.ask(b"order", route="booking")
+            assert (await c.reply()).kind == "served"
+            idle += w.caches[-1].fetches[: n % 2]
+        assert len(w.caches[-1].fetches) == 2 and w.caches[-1].connections == 2
--- a/zincladder/core/ends.py
+++ b/zincladder/core/ends.py
@@ -17,7 +17,7 @@
     LACKING = auto()  # the member holds nothing suitable and fills nothing
     FULL = auto()  # turned away by the member or by its source
     FAULTED = auto()  # the member answered with an error
-    TOO_LATE = auto()  # the member found the request over already
+    TOO_LATE = auto()  # the member found the request over already, or its repeats are no longer dropped
     SILENT = auto()  # no answer in the time there was
     NO_CONNECTION = auto()  # refused, or not up in time
     NOT_WRITTEN = auto()  # the connection was lost, or judged too crowded, before a byte was written
--- a/zincladder/core/engine.py
+++ b/zincladder/core/engine.py
@@ -23,7 +23,7 @@
 from zincladder.core.classes import Classes
 from zincladder.core.ends import End, How
 from zincladder.core.figures import Figures
-from zincladder.decide import Router
+from zincladder.decide import NEVER_RAN, Router
 
 DUE_MARGIN = 0.02  # seconds before the client's own deadline: time to write the answer that ends it
 # Seconds between two looks at the timers, of which each request sets one. A wait of its own for each took a
@@ -49,6 +49,7 @@
     key: str = ""  # idempotency key: the same for all tries of one keyed request
     body: bytes = b""
     size_kb: float = 0.0
+    wanted: Callable[[], bool] = lambda: True  # whether its client still waits for it, as of that moment
 
 
 @dataclass(slots=True)
@@ -65,8 +66,10 @@
     parent_passes: bool = False
     renew: bool = False
     until: float = 0.0  # when the wait for it ends
+    begin_by: float = math.inf  # its first byte goes before this: repeats are dropped for that long only
     written: Callable[[], None] = lambda: None  # called when its last byte has been
     may_go: Callable[[], bool] = lambda: True  # asked again when its first byte is about to be written
+    in_time: Callable[[], bool] = lambda: True  # whether `begin_by` is still ahead
     member_ready: Callable[[], bool] = lambda: True  # else it is the source that may not be named any more
     age_now: Callable[[], float] = lambda: 0.0  # the oldest copy that will do, as of that moment
 
@@ -103,6 +106,7 @@
     ends: list[tuple[int, End]] = field(default_factory=list)
     due: tuple[int, Order, anyio.CancelScope] | None = None  # the attempt that its own task is to make next
     inline: tuple[int, Order, anyio.CancelScope] | None = None  # the one that it is making
+    repeat_by: float = math.inf  # a keyed request that may have run goes out again before this or never
     news: anyio.Event = field(default_factory=anyio.Event)
     final: Answer | None = None
 
@@ -196,6 +200,9 @@
             n, end = life.ends.pop(0)
             order, _, sent_at = life.out.pop(n)
             served = end.result is api.Result.OK
+            rules = self.classes.rules[life.ask.klass]
+            if rules.effect is api.Effect.KEYED and end.result not in NEVER_RAN:
+                life.repeat_by = min(life.repeat_by, sent_at + rules.window)
             if served:
                 life.final = Answer("served", end)
             # Every further point of choice: another attempt, a refusal, a failure, or waiting on.
@@ -381,14 +388,17 @@
         n, life.sends = life.sends, life.sends + 1
         ask, now = life.ask, self.clock.now()
         until = min(ask.due, now + (action.time_out or math.inf))
-        order = Order(ask, action.member, until=until)
+        order = Order(ask, action.member, until=until, begin_by=life.repeat_by)
         if isinstance(action, api.Get):
             order.source = None if action.source == action.member else action.source
             order.keep, order.max_age, order.join = action.keep, action.max_age, action.join
             order.held_only, order.renew = action.held_only, action.renew
             order.parent_passes = action.parent_passes
         order.written = self.figures.written
-        order.may_go = lambda: self._ready(order.member, order.source)
+        order.may_go = lambda: (
+            self._ready(order.member, order.source) and order.in_time() and order.ask.wanted()
+        )
+        order.in_time = lambda: self.clock.now() < order.begin_by
         order.member_ready = lambda: self._ready(order.member)
         order.age_now = lambda: self._age(order)
         scope = anyio.CancelScope(deadline=anyio.current_time() + max(0.0, until - now) + 1e-3)
--- a/zincladder/net/caches.py
+++ b/zincladder/net/caches.py
@@ -19,7 +19,7 @@
 from zincladder.core.ends import End, How
 from zincladder.core.engine import Order
 from zincladder.net import protocol
-from zincladder.net.stream import Ended, Entry, Inbox, Outbox, connect
+from zincladder.net.stream import Ended, Entry, Inbox, Outbox, connect, left
 from zincladder.sparing import Sparing
 
 MOST_HEAD = 2048
@@ -63,6 +63,7 @@
         self.open: dict[bytes, _Waiting] = {}
         self.names: dict[bytes, float] = {}  # used here lately: a second answer to one must find nobody
         self.closed = self.retired = self.ending = False
+        self.reading = False  # an answer has begun and is not whole
         self.used_at = monotonic()
         self.scope = anyio.CancelScope()
 
@@ -92,7 +93,9 @@
 
     async def _read(self) -> None:
         while True:
+            self.reading = False
             await self.inbox.some()
+            self.reading = True
             # Guards all that is open here against an answer that stops short: nothing after it can be read.
             line = await self.inbox.line(MOST_HEAD, BROKEN_OFF)
             if not line:
@@ -160,8 +163,13 @@
         return End(how, body, report=figures, **told)
 
 
-def _turned(order: Order) -> End:
-    """Not sent: the member, or the source of its fill, was told to drain since the decision."""
+def _held_back(order: Order) -> End:
+    """Not sent, and why: what was looked at before the first byte has changed since the decision."""
+    if not order.ask.wanted():
+        return End(How.CALLED_OFF, why="its client has left")
+    if not order.in_time():
+        return End(How.TOO_LATE, why="its repeats are no longer dropped")
+    # The member, or the source of its fill, was told to drain.
     return End(How.TURNED, note=api.Note.SOURCE_FAILED if order.member_ready() else api.Note.NONE)
 
 
@@ -219,13 +227,11 @@
 
     async def carry(self, order: Order) -> End:
         if not order.may_go():
-            return _turned(order)
+            return _held_back(order)
         try:
             link = await self._link(order.member, order.ask.trace.encode())
         except (OSError, TimeoutError) as fault:
             return End(How.NO_CONNECTION, why=str(fault))
-        if not order.may_go():  # told while the connection came up
-            return _turned(order)
         return await self._exchange(link, order.ask.trace.encode(), self._fetch(order), order)
 
     async def probe(self, member: api.MemberId) -> End:
@@ -250,9 +256,8 @@
             if order is not None and written:
                 order.written()
             elif order is not None:
-                waiting.finish(
-                    _turned(order)
-                )  # guards the request: it waited in the queue and nobody else says
+                # Guards the request: it was held back at the last look, and nobody else says so.
+                waiting.finish(_held_back(order))
 
         entry = waiting.entry = link.outbox.put(parts, order.may_go if order else None, gone)
         try:
@@ -260,8 +265,12 @@
                 await waiting.news.wait()
             return waiting.end
         finally:
+            if link.open.get(name) is waiting:  # given up, or held back
+                del link.open[name]
             if waiting.end is None:
-                link.open.pop(name, None)
+                # Guards the next request here: what comes of an answer that has begun would be read before
+                # its own, for as long as the rest takes to come.
+                link.retired |= link.reading
                 if not link.closed and not link.outbox.drop(entry):
                     if order is not None:
                         link.outbox.put([b"abort " + name + b"\r\n"])
@@ -330,6 +339,9 @@
             if full or link.closed or link.retired or link.ending or link.outbox.ended:
                 continue
             if not link.open:
+                if left(link.sock):  # its end has come and was not read yet: what is written now may be lost
+                    link.end()
+                    continue
                 return link
             best = link
         return best
--- a/zincladder/net/clients.py
+++ b/zincladder/net/clients.py
@@ -8,6 +8,7 @@
 import time
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
+from functools import partial
 from time import monotonic
 
 import anyio
@@ -24,7 +25,7 @@
 from zincladder.net import protocol, thrift
 from zincladder.net.door import Door
 from zincladder.net.protocol import BadFields
-from zincladder.net.stream import Ended, Inbox, Outbox
+from zincladder.net.stream import Ended, Inbox, Outbox, left
 from zincladder.sparing import Sparing
 
 OPEN_AT_MOST = 32  # requests on one connection, as the protocol says
@@ -80,6 +81,12 @@
         self.ended = True
         self.scope.cancel()
 
+    def waits(self, taken: _Taken) -> bool:
+        """Whether the client still waits for this request, as its system and what was read say now."""
+        if not self.ended and left(self.sock):
+            self.end()
+        return not (self.ended or taken.back)
+
 
 class _Unread:
     """Tells admission of the bytes that one client leaves unread."""
@@ -355,6 +362,7 @@
             return
         self._admission.opened(client.seat)
         taken = client.open[call.seq] = _Taken()
+        ask.wanted = partial(client.waits, taken)
         self._traces.add(ask.trace)
         tasks.start_soon(self._request, client, call.seq, ask, taken)
 
--- a/zincladder/net/stream.py
+++ b/zincladder/net/stream.py
@@ -4,6 +4,7 @@
 
 import errno
 import math
+import select
 import socket
 from collections import deque
 from collections.abc import Callable, Sequence
@@ -290,6 +291,23 @@
             self._flush()
 
 
+def left(sock: socket.socket) -> bool:
+    """Whether the peer has ended its side of the connection, asked of the system and not of what was read.
+
+    With bytes unread before that end only RDHUP tells of it. Nothing is taken from the socket.
+    """
+    try:
+        if not sock.recv(1, socket.MSG_PEEK):
+            return True
+    except (BlockingIOError, InterruptedError):
+        return False
+    except OSError:
+        return True
+    asked = select.poll()
+    asked.register(sock, select.POLLRDHUP)
+    return bool(asked.poll(0))
+
+
 def family(host: str) -> socket.AddressFamily:
     """The family of an address in text."""
     return socket.AF_INET6 if ":" in host else socket.AF_INET
