Close client connections in order, and answer what is open before the process ends

Now: look, shutdown of the write side, read and discard until the peer's end or 0.5 s or 1 MB, close. Bytes that come after the shutdown are never passed on. - run cut what was open 0.5 s after the longest deadline without an answer; a request that came 0.6 s after SIGTERM may end later than that. Now it is answered as failed at 0.55 s, and the answers have 0.1 s to leave; SIGKILL comes at 0.7 s. - an evicted seat that had something to say was closed over it; Plain counted one that stayed as leaving for ever (Admission.stays). Where a descriptor is needed now, what is here is read and the close follows at once: nobody waits half a second for a seat.

--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -15,11 +15,16 @@
 from anyio.abc import SocketAttribute
 
 from tests.stands import KEY, SETTINGS, Fetch, Script, StubCache, World, client, serve, world
-from tests.test_front import cut
+from tests.test_front import cut, hold
+from zincladder.admission.gate import Bounds
+from zincladder.admission.ledger import PLAIN, Ledger
+from zincladder.admission.model import Verdict
+from zincladder.admission.plain import Plain
 from zincladder.core.engine import Clock
 from zincladder.net import caches as cache_side
 from zincladder.net import thrift
 from zincladder.net.caches import Caches
+from zincladder.net.clients import Clients, _Client
 from zincladder.net.stream import connect
 
 pytestmark = pytest.mark.anyio
@@ -59,6 +64,28 @@
     return frame("handle", seq, b"\x0d\0\1" + thrift._texts(said | fields) + b"\x0b\0\2\0\0\0\0")
 
 
+async def some(sock: socket.socket) -> bytes:
+    """What comes next."""
+    with anyio.fail_after(5):
+        await anyio.wait_readable(sock)
+    return sock.recv(1 << 16)
+
+
+async def rest(sock: socket.socket) -> bytes:
+    """All that still comes until the peer's end; ConnectionResetError where it was reset."""
+    found = b""
+    with anyio.fail_after(5):
+        while True:
+            try:
+                got = sock.recv(1 << 16)
+            except BlockingIOError:
+                await anyio.wait_readable(sock)
+                continue
+            if not got:
+                return found
+            found += got
+
+
 def on_connect(monkeypatch: pytest.MonkeyPatch, act: Callable[[int], None]) -> None:
     """Calls `act` with the connection's number when one to a member has come up, before anything is sent."""
     made = 0
@@ -73,6 +100,123 @@
     monkeypatch.setattr(cache_side, "connect", connecting)
 
 
+# The front's own ends ------------------------------------------------------------------------------
+
+
+def _idle(w: World, sock: socket.socket) -> None:
+    """`IDLE` is short: nothing is to be done."""
+
+
+def _stop(w: World, sock: socket.socket) -> None:
+    w.stopping.set()
+
+
+def _garble(w: World, sock: socket.socket) -> None:
+    sock.sendall(b"GET / HTTP/1.1\r\n\r\n")
+
+
+def _half(w: World, sock: socket.socket) -> None:
+    sock.sendall(b"\0\0\1")
+
+
+@pytest.mark.parametrize("way", [_idle, _stop, _garble, _half])
+async def test_a_request_that_crosses_the_fronts_end_resets_no_answer_and_is_not_sent_on(
+    way: Callable[[World, socket.socket], None], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    # a close over unread bytes sends a reset: the part of the answer that has not been read is gone with it
+    monkeypatch.setattr("zincladder.net.clients.STAY", 0.01)
+    monkeypatch.setattr("zincladder.net.clients.STALL", 0.1)
+    monkeypatch.setattr("zincladder.net.clients.IDLE", 0.1 if way is _idle else 60.0)
+    end, body, crossing = _Client.end, bytes(12_000), [request(2)]
+
+    def ending(self: _Client, *how: Any) -> None:
+        while crossing:
+            sock.sendall(crossing.pop())  # it comes just after the last look
+        end(self, *how)
+
+    async def large(_: StubCache, fetch: Fetch) -> None:
+        await fetch.answer(200, "tell=local,rev=aa,since=1", body)
+
+    monkeypatch.setattr(_Client, "end", ending)
+    async with world(large) as w:
+        with socket.socket() as sock:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 2048)  # most of the answer stays on its way
+            sock.connect(w.listening.clients)
+            sock.setblocking(False)
+            sock.sendall(request(1))
+            with anyio.fail_after(5):
+                await anyio.wait_readable(sock)
+                way(w, sock)
+                while crossing:
+                    await anyio.sleep(0.001)
+            answer = await rest(sock)
+            assert body in answer and answer.count(b"handle") == 1
+            assert [f.name for f in w.caches[0].fetches] == [f"{1:016x}"]
+
+
+async def test_what_is_open_when_the_process_has_to_end_gets_its_answer(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    # SIGKILL comes soon after the longest deadline: what would end later is answered before that
+    monkeypatch.setattr("zincladder.net.clients.STAY", 0.01)
+    monkeypatch.setattr("zincladder.net.clients.LEAST_STAY", 0.0)
+    monkeypatch.setattr("zincladder.net.clients.LAST", 0.05)
+    settings = copy.deepcopy(SETTINGS)
+    for row in settings["categories"]:
+        row["deadline"] = 0.3
+    async with world(hold, origin=hold, settings=settings) as w, client(w) as c:
+        await c.ask(b"order", route="booking", patience="600")
+        await c.ask(patience="600")
+        while not (w.caches[0].fetches and w.caches[-1].fetches):
+            await anyio.sleep(0.001)
+        w.stopping.set()
+        with anyio.fail_after(5):
+            assert {(await c.reply()).kind for _ in range(2)} == {"Broken"}
+        assert len(w.caches[-1].fetches) == 1
+        with pytest.raises(anyio.EndOfStream):
+            await c.stream.receive()
+
+
+async def test_a_connection_chosen_to_make_room_stays_when_its_request_has_come(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    idle: list[socket.socket] = []
+    evict = Clients._evict
+
+    def crossing(self: Clients, *chosen: Any) -> None:
+        while idle:
+            idle.pop().sendall(request(2, trace="e" * 16))
+        evict(self, *chosen)
+
+    monkeypatch.setattr(Clients, "_evict", crossing)
+    # 22 of the 40 descriptors are the clients'
+    async with world(serve, limits={"sockets": 40}) as w:
+        with plain(w) as first, contextlib.ExitStack() as crowd:
+            first.sendall(request(1))
+            assert KEY.encode() in await some(first)
+            idle.append(first)
+            for _ in range(21):
+                sock = crowd.enter_context(plain(w))
+                sock.sendall(frame("status", 1, b"\x02\0\1\1"))
+                await some(sock)  # each has spoken later than the first
+            newest = crowd.enter_context(plain(w))
+            newest.sendall(request(1, trace="f" * 16))
+            assert KEY.encode() in await some(first) and not idle
+            assert KEY.encode() in await some(newest)  # another one made room
+
+
+def test_a_seat_that_stays_is_not_waited_for() -> None:
+    # else the listener would wait for ever for the descriptor of one that was not closed
+    admission = Plain(Bounds(8, 8), Ledger(10, PLAIN, own=0))
+    seats = [admission.seat(admission.connect("127.0.0.1", 0.0), 0.0) for _ in range(5)]
+    chosen = admission.ready(1.0)
+    assert chosen.evict is seats[0]
+    admission.stays(seats[0], 1.0)
+    assert admission.ready(1.0).evict is seats[1] and admission.ready(1.0).evict is None
+    admission.gone(seats[1], 1.1)
+    assert admission.ready(1.1).verdict is Verdict.ADMIT
+
+
 # A client that has left ----------------------------------------------------------------------------
 
 
--- a/zincladder/admission/gate.py
+++ b/zincladder/admission/gate.py
@@ -95,6 +95,9 @@
     def gone(self, seat: Seat, now: float) -> None:
         """A connection has been closed: its descriptor is free."""
 
+    def stays(self, seat: Seat, now: float) -> None:
+        """A connection that was chosen to make room has something to say: it is not closed."""
+
     def may_read(self, seat: Seat, now: float) -> bool:
         """May a message be read? If not, the seat waits until `look` names it."""
 
@@ -368,6 +371,11 @@
         self.rows.idle(seat, now)
         return seat
 
+    def stays(self, seat: Seat, now: float) -> None:
+        seat.leaving = False
+        if not (seat.open or seat.unread or seat in self._waiting):
+            self.rows.idle(seat, now)
+
     def gone(self, seat: Seat, now: float) -> None:
         source = seat.source
         self.ledger.give(Use.CLIENTS)
--- a/zincladder/admission/plain.py
+++ b/zincladder/admission/plain.py
@@ -73,6 +73,13 @@
         self._busy(seat)
         self._unread -= seat.unread
 
+    def stays(self, seat: Seat, now: float) -> None:
+        if seat.leaving:
+            seat.leaving = False
+            self._leaving -= 1
+            if not seat.open:
+                self._idle(seat, now)
+
     def may_read(self, seat: Seat, now: float) -> bool:
         return True
 
--- a/zincladder/core/engine.py
+++ b/zincladder/core/engine.py
@@ -182,6 +182,13 @@
         finally:
             self._forget(number)
 
+    def give_up(self) -> None:
+        """Answers all that is open as failed, at once: the process ends and cannot wait for it any longer."""
+        for number, life in self.lives.items():
+            if life.final is None:
+                self._notify(api.ClientLeft(number))
+                self._finish(number, Answer("failed"))
+
     def _held_off(self, klass: int) -> float:
         """Seconds for which a request that was read under this class's number may not be decided; 0: it may.
 
--- a/zincladder/net/clients.py
+++ b/zincladder/net/clients.py
@@ -25,7 +25,7 @@
 from zincladder.net import protocol, thrift
 from zincladder.net.door import Door
 from zincladder.net.protocol import BadFields
-from zincladder.net.stream import Ended, Inbox, Outbox, left
+from zincladder.net.stream import Ended, Inbox, Outbox, left, lingering_close
 from zincladder.sparing import Sparing
 
 OPEN_AT_MOST = 32  # requests on one connection, as the protocol says
@@ -38,10 +38,12 @@
 MEASURE = 1.0  # seconds between two measurements of what the loop costs
 TURN = 32  # messages of one client taken before the other tasks have their turn
 STAY = 0.8  # after SIGTERM clients go on coming for 0.6 s
-LEAST_STAY, LAST = (
-    3.0,
-    0.5,
-)  # SIGKILL comes 0.7 s after the longest deadline, counted as 3 s where it is shorter
+# SIGKILL comes 0.7 s after the longest deadline, counted as 3 s where it is shorter. What is open a little
+# before that is answered as failed, and the answers then have a moment to leave.
+LEAST_STAY, LAST, LEAVING = 3.0, 0.55, 0.1
+LINGER = 0.5  # seconds for the peer's own end after this side's: many round trips of a client
+AT_ONCE = 0.0  # the same where the descriptor is needed: only what is here already is read
+LINGER_MOST = 1 << 20  # bytes read and thrown away meanwhile
 SOON = 0.05  # seconds after which another process takes what this one refuses
 RETIRING = 0.005  # seconds between two looks at who may be closed then
 MOST_WRITE = 48_000  # bytes of a request's body
@@ -75,11 +77,13 @@
     spoke: bool = False  # a whole message has come
     frame_at: float = 0.0  # when the message that is coming began
     taken_back: int = 0
+    linger: float | None = None  # seconds for which its own end is waited for; None: it has come
 
-    def end(self) -> None:
+    def end(self, linger: float | None = None) -> None:
         """Guards what is to come: nothing of this client is passed on from here."""
-        self.ended = True
-        self.scope.cancel()
+        if not self.ended:
+            self.ended, self.linger = True, linger
+            self.scope.cancel()
 
     def waits(self, taken: _Taken) -> bool:
         """Whether the client still waits for this request, as its system and what was read say now."""
@@ -142,12 +146,18 @@
         async with anyio.create_task_group() as self._tasks:
             self._tasks.start_soon(self._sweep)
             await self._door.run(self._accepting)
-            while self._clients and monotonic() < self._until:
-                for client in list(self._clients.values()):
-                    self._retire(client)
-                await anyio.sleep(RETIRING)
+            await self._empty(self._until)
+            self._core.give_up()  # these answers are owed too, and nobody waits for their requests any longer
+            await self._empty(self._until + LEAVING)
             self._tasks.cancel_scope.cancel()
 
+    async def _empty(self, until: float) -> None:
+        """Closes connections as they fall idle, until none is left or its time is up."""
+        while self._clients and monotonic() < until:
+            for client in list(self._clients.values()):
+                self._retire(client)
+            await anyio.sleep(RETIRING)
+
     async def stop(self, stopping: anyio.Event) -> None:
         """Guards a planned restart: says so to `status`, but takes what still comes for a while."""
         await stopping.wait()
@@ -161,25 +171,27 @@
             await anyio.sleep(STAY)
         self._accepting.cancel()
 
-    def _retire(self, client: _Client) -> None:
-        """Closes a connection on which nothing is open, unwritten or unread.
+    def _retire(self, client: _Client, why: str = How.IDLE.name.lower(), linger: float = LINGER) -> bool:
+        """Closes a connection on which nothing is open, unwritten or unread; whether it was one.
 
         Guards a request that is on its way: it is looked for at the last moment, and the end is told at once.
+        What comes after that is never passed on.
         """
         coming = client.frame_at or client.inbox.buffered()  # a part of a message is here
         if client.open or client.outbox.size or coming or client.ended:
-            return
+            return False
         try:
-            if client.sock.recv(1, socket.MSG_PEEK):
-                return
+            client.sock.recv(1, socket.MSG_PEEK)
+            return False  # a message, or the client's own end: its reader hears of it
         except BlockingIOError:
             pass
         except OSError:
-            return  # its reader hears of it
+            return False
         with contextlib.suppress(OSError):
             client.sock.shutdown(socket.SHUT_WR)
-        self._core.counts["client_ends", How.IDLE.name.lower()] += 1
-        client.end()
+        self._core.counts["client_ends", why] += 1
+        client.end(linger)
+        return True
 
     def _seat(self, sock: socket.socket, decision: Decision) -> None:
         now = monotonic()
@@ -193,11 +205,14 @@
         client = self._clients.get(seat)
         if client is None or client.ended:
             return
-        if client.open:  # since it was chosen: it is owed an answer
-            seat.leaving = False
+        name = "crowded" if why is Why.FULL else why.value
+        if self._retire(client, name, AT_ONCE):
             return
-        self._core.counts["client_ends", "crowded" if why is Why.FULL else why.value] += 1
-        client.end()
+        if client.open or why is Why.FULL:
+            self._admission.stays(seat, monotonic())  # it has something to say since it was chosen
+            return
+        self._core.counts["client_ends", name] += 1
+        client.end(AT_ONCE)
 
     def _look(self) -> None:
         """At each tick of the core: whose turn it is to be read, and who leaves."""
@@ -226,10 +241,9 @@
                     self._warn.warning("client sent no whole message", open=len(c.open))
                     self._admission.did(c.seat, Act.STALLED, now)
                     self._core.counts["client_ends", How.STALLED.name.lower()] += 1
-                    c.end()
-                elif not c.open and not c.outbox.size and now - c.used_at > IDLE:
-                    self._core.counts["client_ends", How.IDLE.name.lower()] += 1
-                    c.end()
+                    c.end(LINGER)
+                elif now - c.used_at > IDLE:
+                    self._retire(c)
 
     async def _client(self, client: _Client) -> None:
         sock = client.sock
@@ -247,16 +261,22 @@
                         if client.open and end.how in (How.CLOSED, How.CUT):
                             self._admission.did(client.seat, Act.ABANDONED, monotonic())
                         if end.how is How.GARBLED:
+                            client.end(LINGER)
                             self._admission.did(client.seat, Act.GARBLED, monotonic())
                             self._warn.warning("client ended", why=str(end), open=len(client.open))
                     client.end()  # the client is gone: nobody waits for what is open
         except Exception:  # guards all other clients: what goes wrong with one ends its connection only
             log.exception("client failed")
         finally:
-            del self._clients[client.seat]
-            client.outbox.forget()
-            sock.close()
-            self._admission.gone(client.seat, monotonic())
+            try:
+                if client.linger is not None:
+                    await client.outbox.finish(client.linger)
+                    await lingering_close(sock, client.linger, LINGER_MOST)
+            finally:
+                del self._clients[client.seat]
+                client.outbox.forget()
+                sock.close()
+                self._admission.gone(client.seat, monotonic())
 
     async def _writer(self, client: _Client) -> None:
         try:
@@ -296,6 +316,8 @@
             except thrift.Malformed as fault:
                 raise Ended(How.GARBLED, str(fault)) from None
             client.frame_at, client.spoke, client.used_at = 0.0, True, monotonic()
+            if client.ended:
+                return  # it came after this side's end: it goes again on another connection
             if call.verb != "handle":
                 self._admission.told(client.seat, client.used_at)
             if call.verb == "withdraw":
--- a/zincladder/net/stream.py
+++ b/zincladder/net/stream.py
@@ -272,6 +272,16 @@
             self._queue.popleft()
             entry.over(True)
 
+    async def finish(self, patience: float) -> None:
+        """Writes what still waits, for a bounded time; nothing is put any more."""
+        with anyio.move_on_after(patience):
+            while self._queue and not self.ended:
+                try:
+                    await anyio.wait_writable(self._sock)
+                except (OSError, ValueError, anyio.ClosedResourceError):
+                    return
+                self._flush()
+
     async def run(self, patience: float) -> None:
         """Writes what `put` could not; ends with Ended when the peer reads nothing for too long."""
         while True:
@@ -308,6 +318,29 @@
     return bool(asked.poll(0))
 
 
+async def lingering_close(sock: socket.socket, patience: float, most: int) -> None:
+    """Ends this side, then reads and throws away until the peer has ended its own, or a bound is reached.
+
+    Guards what was sent last: a close over unread bytes sends a reset, and the peer's system then drops the
+    answers that its client has not read yet (RFC 9112 9.6).
+    """
+    scrap = bytearray(STEP)
+    try:
+        sock.shutdown(socket.SHUT_WR)
+        with anyio.move_on_after(patience):
+            while most > 0:
+                try:
+                    got = sock.recv_into(scrap)
+                except (BlockingIOError, InterruptedError):
+                    await anyio.wait_readable(sock)
+                    continue
+                if not got:
+                    return
+                most -= got
+    except (OSError, ValueError, anyio.ClosedResourceError):
+        pass  # the peer has reset it: nothing is left to guard
+
+
 def family(host: str) -> socket.AddressFamily:
     """The family of an address in text."""
     return socket.AF_INET6 if ":" in host else socket.AF_INET
