--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -158,8 +158,8 @@
 async def test_what_is_open_when_the_process_has_to_end_gets_its_answer(
     deadline: float, counted: float, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    # SIGKILL comes soon after the longest deadline, counted as `counted` seconds where it is longer: what would
-    # end later is answered before that
+    # SIGKILL comes soon after the longest deadline, counted as `counted` seconds where it is longer: what
+    # would end later is answered before that
     monkeypatch.setattr("zincladder.net.clients.STAY", 0.01)
     monkeypatch.setattr("zincladder.net.clients.MOST_STAY", counted)
     monkeypatch.setattr("zincladder.net.clients.LAST", 0.05)
