Answer what is open on a connection before the front itself ends it

Cause: _Client.end cancelled the requests (net/clients.py, _client and _sweep); run() cancelled all tasks with no end of their own. Now each open request is answered as failed first, once, counted as failed and not as withdrawn, and the last connections are ended in order. A fault inside a request no longer answers one whose answer has gone. Three tests and one of the last moment, seen to fail without their mends.

--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -20,7 +20,7 @@
 from zincladder.admission.ledger import PLAIN, Ledger
 from zincladder.admission.model import Verdict
 from zincladder.admission.plain import Plain
-from zincladder.core.engine import Clock
+from zincladder.core.engine import Clock, Core
 from zincladder.net import caches as cache_side
 from zincladder.net import thrift
 from zincladder.net.caches import Caches
@@ -86,6 +86,19 @@
             found += got
 
 
+def cores_of(monkeypatch: pytest.MonkeyPatch) -> list[Core]:
+    """The cores of the fronts that are started from now on."""
+    made: list[Core] = []
+    init = Core.__init__
+
+    def keep(self: Core, *how: Any, **more: Any) -> None:
+        made.append(self)
+        init(self, *how, **more)
+
+    monkeypatch.setattr(Core, "__init__", keep)
+    return made
+
+
 def on_connect(monkeypatch: pytest.MonkeyPatch, act: Callable[[int], None]) -> None:
     """Calls `act` with the connection's number when one to a member has come up, before anything is sent."""
     made = 0
@@ -179,6 +192,73 @@
             await c.stream.receive()
 
 
+def _too_many(sock: socket.socket) -> None:
+    sock.sendall(b"".join(request(n) for n in range(3, 40)))  # past what one connection may have open
+
+
+def _breaks_off(sock: socket.socket) -> None:
+    sock.sendall(b"\0\0\1")
+
+
+def _speaks_another_protocol(sock: socket.socket) -> None:
+    sock.sendall(b"GET / HTTP/1.1\r\n\r\n")
+
+
+@pytest.mark.parametrize("bad", [_too_many, _breaks_off, _speaks_another_protocol])
+async def test_what_is_open_on_a_connection_that_the_front_ends_gets_its_one_answer(
+    bad: Callable[[socket.socket], None], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr("zincladder.net.clients.STALL", 0.1)
+    cores = cores_of(monkeypatch)
+    async with world(hold, origin=hold) as w:
+        with plain(w) as sock:
+            sock.sendall(request(1) + request(2, route="booking", trace="b" * 16))
+            while not (w.caches[0].fetches and w.caches[-1].fetches):
+                await anyio.sleep(0.001)
+            bad(sock)
+            answers = await rest(sock)
+        failed = [thrift.thrown("handle", seq, 2, {}) for seq in (1, 2)]
+        for one in failed:
+            assert answers.count(b"".join(bytes(part) for part in one)) == 1
+        kinds = {kind: n for (what, kind), n in cores[0].counts.items() if what == "answers"}
+        assert kinds == {"failed": answers.count(b"handle")} and not cores[0].lives
+
+
+async def test_bytes_that_come_when_the_process_ends_make_its_last_close_no_reset(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    # half a frame keeps the connection from resting, so it is open until the very end
+    monkeypatch.setattr("zincladder.net.clients.STAY", 0.01)
+    monkeypatch.setattr("zincladder.net.clients.MOST_STAY", 0.0)
+    monkeypatch.setattr("zincladder.net.clients.LAST", 0.05)
+    monkeypatch.setattr("zincladder.net.clients.LEAVING", 0.05)
+    empty, turns, body = Clients._empty, [0], bytes(12_000)
+
+    async def crossing(self: Clients, until: float) -> None:
+        await empty(self, until)
+        turns[0] += 1
+        if turns[0] == 2:
+            sock.sendall(request(2))  # nothing is awaited between this and the end
+
+    async def large(_: StubCache, fetch: Fetch) -> None:
+        await fetch.answer(200, "tell=local,rev=aa,since=1", body)
+
+    monkeypatch.setattr(Clients, "_empty", crossing)
+    async with world(large) as w:
+        with socket.socket() as sock:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 2048)  # most of the answer stays on its way
+            sock.connect(w.listening.clients)
+            sock.setblocking(False)
+            sock.sendall(request(1) + b"\0\0")
+            with anyio.fail_after(5):
+                await anyio.wait_readable(sock)
+                w.stopping.set()
+                while turns[0] < 2:
+                    await anyio.sleep(0.001)
+            assert body in await rest(sock)
+            assert [f.name for f in w.caches[0].fetches] == [f"{1:016x}"]
+
+
 async def test_a_connection_chosen_to_make_room_stays_when_its_request_has_come(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
--- a/zincladder/core/engine.py
+++ b/zincladder/core/engine.py
@@ -182,10 +182,11 @@
         finally:
             self._forget(number)
 
-    def give_up(self) -> None:
-        """Answers all that is open as failed, at once: the process ends and cannot wait for it any longer."""
+    def give_up(self, asks: Sequence[Ask] | None = None) -> None:
+        """Answers these as failed at once, or all that is open: whoever asks cannot wait any longer."""
+        these = None if asks is None else {id(ask) for ask in asks}
         for number, life in self.lives.items():
-            if life.final is None:
+            if life.final is None and (these is None or id(life.ask) in these):
                 self._notify(api.ClientLeft(number))
                 self._finish(number, Answer("failed"))
 
--- a/zincladder/net/clients.py
+++ b/zincladder/net/clients.py
@@ -25,7 +25,7 @@
 from zincladder.net import protocol, thrift
 from zincladder.net.door import Door
 from zincladder.net.protocol import BadFields
-from zincladder.net.stream import Ended, Inbox, Outbox, left, lingering_close
+from zincladder.net.stream import AT_ONCE, LINGER, Ended, Inbox, Outbox, left, lingering_close
 from zincladder.sparing import Sparing
 
 OPEN_AT_MOST = 32  # requests on one connection, as the protocol says
@@ -40,10 +40,7 @@
 STAY = 0.65  # after SIGTERM clients go on coming for 0.6 s; what comes 0.7 s after it may not stay unanswered
 # SIGKILL comes 0.7 s after the longest deadline, counted as 3 s where it is longer. What is open a little
 # before that is answered as failed, and the answers then have a moment to leave.
-MOST_STAY, LAST, LEAVING = 3.0, 0.55, 0.1
-LINGER = 0.5  # seconds for the peer's own end after this side's: many round trips of a client
-AT_ONCE = 0.0  # the same where the descriptor is needed: only what is here already is read
-LINGER_MOST = 1 << 20  # bytes read and thrown away meanwhile
+MOST_STAY, LAST, LEAVING, LAST_TURN = 3.0, 0.55, 0.1, 0.02
 SOON = 0.05  # seconds after which another process takes what this one refuses
 RETIRING = 0.005  # seconds between two looks at who may be closed then
 MOST_WRITE = 48_000  # bytes of a request's body
@@ -54,6 +51,7 @@
 class _Taken:
     """One request that was taken from a client."""
 
+    ask: Ask
     scope: anyio.CancelScope = field(default_factory=anyio.CancelScope)
     begun: bool = False
     back: bool = False  # taken back
@@ -149,6 +147,9 @@
             await self._empty(self._until)
             self._core.give_up()  # these answers are owed too, and nobody waits for their requests any longer
             await self._empty(self._until + LEAVING)
+            for client in self._clients.values():
+                self._end(client, AT_ONCE)  # what still comes would make the end of the process a reset
+            await self._empty(self._until + LEAVING + LAST_TURN)
             self._tasks.cancel_scope.cancel()
 
     async def _empty(self, until: float) -> None:
@@ -212,7 +213,19 @@
             self._admission.stays(seat, monotonic())  # it has something to say since it was chosen
             return
         self._core.counts["client_ends", name] += 1
-        client.end(AT_ONCE)
+        self._end(client, AT_ONCE)
+
+    def _end(self, client: _Client, linger: float) -> None:
+        """This side's own end, whatever is open: each request that was read gets its one answer first."""
+        if client.ended:
+            return
+        open_now, client.open = client.open, {}
+        if open_now:
+            self._core.give_up([taken.ask for taken in open_now.values()])
+        for seq, taken in open_now.items():
+            self._core.answered(taken.ask.klass, "failed")
+            client.outbox.put(_reply(seq, Answer("failed")))
+        client.end(linger)
 
     def _look(self) -> None:
         """At each tick of the core: whose turn it is to be read, and who leaves."""
@@ -241,7 +254,7 @@
                     self._warn.warning("client sent no whole message", open=len(c.open))
                     self._admission.did(c.seat, Act.STALLED, now)
                     self._core.counts["client_ends", How.STALLED.name.lower()] += 1
-                    c.end(LINGER)
+                    self._end(c, LINGER)
                 elif now - c.used_at > IDLE:
                     self._retire(c)
 
@@ -261,7 +274,7 @@
                         if client.open and end.how in (How.CLOSED, How.CUT):
                             self._admission.did(client.seat, Act.ABANDONED, monotonic())
                         if end.how is How.GARBLED:
-                            client.end(LINGER)
+                            self._end(client, LINGER)
                             self._admission.did(client.seat, Act.GARBLED, monotonic())
                             self._warn.warning("client ended", why=str(end), open=len(client.open))
                     client.end()  # the client is gone: nobody waits for what is open
@@ -271,7 +284,7 @@
             try:
                 if client.linger is not None:
                     await client.outbox.finish(client.linger)
-                    await lingering_close(sock, client.linger, LINGER_MOST)
+                    await lingering_close(sock, client.linger)
             finally:
                 del self._clients[client.seat]
                 client.outbox.forget()
@@ -383,7 +396,7 @@
             client.outbox.put(_reply(call.seq, Answer("refused", retry_after=pause)))
             return
         self._admission.opened(client.seat)
-        taken = client.open[call.seq] = _Taken()
+        taken = client.open[call.seq] = _Taken(ask)
         ask.wanted = partial(client.waits, taken)
         self._traces.add(ask.trace)
         tasks.start_soon(self._request, client, call.seq, ask, taken)
@@ -426,8 +439,9 @@
                     client.outbox.put(_reply(seq, answer))
         except Exception:
             log.exception("request failed", trace=ask.trace)  # the process and its other requests go on
-            self._core.answered(ask.klass, "failed")
-            client.outbox.put(thrift.thrown("handle", seq, 2, {}))
+            if client.open.get(seq) is taken:
+                self._core.answered(ask.klass, "failed")
+                client.outbox.put(thrift.thrown("handle", seq, 2, {}))
         finally:
             if client.open.get(seq) is taken:
                 del client.open[seq]
