Write nothing more of a request that was given up before it had wholly gone out

Need: nothing more is sent on for a client that has left, and what may not run twice must not run late. Seen: a request whose first bytes had gone out stayed in the outbox whole when it was given up (time-out, withdrawn, client gone); its rest was written as soon as the member read again, and `abort` only behind it, so that it arrived whole and could run. Cause: net/caches.py, _exchange put the abort behind the rest. Now a connection with nothing else open on it ends instead; with others open the old way stands, since their answers are owed. Two tests with a member that does not read, the first seen to fail without.

--- a/tests/test_member_links.py
+++ b/tests/test_member_links.py
@@ -132,3 +132,28 @@
         await c.ask(seen="aa")
         reply = await c.reply()
         assert (reply.kind, reply.body, reply.fields) == ("served", KEY.encode(), {})
+
+
+# Requests that are given up ------------------------------------------------------------------------
+
+
+async def test_the_rest_of_a_request_that_was_given_up_is_not_written_behind() -> None:
+    # it never arrived whole, so it never ran; its last bytes would have it run after its client was answered
+    async with wire() as w:
+        scope = await w.send(b"x" * LARGE + b"end\r\n", order())
+        scope.cancel()
+        await anyio.wait_all_tasks_blocked()
+        found = await w.read(lambda found: False)
+        assert b"end" not in found and b"abort" not in found and len(found) < LARGE
+
+
+async def test_a_connection_that_others_use_stays_and_the_request_is_taken_back_by_name() -> None:
+    async with wire() as w:
+        await w.send(b"first\r\n", order("f" * 16))
+        scope = await w.send(b"x" * LARGE + b"end\r\n", order("a" * 16))
+        scope.cancel()
+        await anyio.wait_all_tasks_blocked()
+        found = await w.read(lambda found: b"abort" in found)
+        assert found.endswith(b"end\r\nabort " + b"a" * 16 + b"\r\n")
+        await w.answer(b"f" * 16 + b" 200 tell=local 3\r\nown\r\n")
+        assert [bytes(end.body) for end in w.ends] == [b"own"]
--- a/zincladder/net/caches.py
+++ b/zincladder/net/caches.py
@@ -274,7 +274,11 @@
                 # its own, for as long as the rest takes to come.
                 link.retired |= link.reading
                 if not link.closed and not link.outbox.drop(entry):
-                    if order is not None:
+                    if entry.parts and not link.open:
+                        # Guards a request that has not wholly arrived, and so never ran: the rest of it,
+                        # written behind, would have it run after all.
+                        link.end()
+                    elif order is not None:
                         link.outbox.put([b"abort " + name + b"\r\n"])
                     # Guards against a machine that is cut off: its connection stays up and silent, and only a
                     # new one, which does not come up, proves that the next request never ran.
