Send no request whose object was purged after its fields were written down

Need: no copy older than a purge after 1 s, counted from the first byte of the attempt. Seen by reading: `cap`, the oldest copy that will do, is written when the attempt gets its connection, but the first byte can go out much later, behind another request at a member that does not read; a purge told in between was not in it. Cause: net/caches.py _fetch and core/engine.py may_go, which looked again at drains and the window only. Now the look just before the first byte compares the age written down with the one due now; held back, the attempt never ran and goes elsewhere. Test with the purge told between both by a hook at Outbox.put, seen to fail without.

--- a/tests/test_member_links.py
+++ b/tests/test_member_links.py
@@ -6,18 +6,20 @@
 import math
 import socket
 import time
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Callable, Sequence
 from typing import Any
 
 import anyio
 import pytest
 
 from tests.stands import KEY, Fetch, StubCache, client, configuration, serve, world
+from tests.test_endings import cores_of
 from zincladder.admission.ledger import SHARED, Ledger, Use
 from zincladder.config import config_of
 from zincladder.core.ends import End
 from zincladder.core.engine import Ask, Order
 from zincladder.net.caches import Caches, _Link
+from zincladder.net.stream import Outbox
 
 pytestmark = pytest.mark.anyio
 LARGE = 1 << 20  # bytes: more than the systems of both sides hold between them
@@ -157,3 +159,24 @@
         assert found.endswith(b"end\r\nabort " + b"a" * 16 + b"\r\n")
         await w.answer(b"f" * 16 + b" 200 tell=local 3\r\nown\r\n")
         assert [bytes(end.body) for end in w.ends] == [b"own"]
+
+
+# Purges --------------------------------------------------------------------------------------------
+
+
+async def test_a_request_that_waits_to_be_written_takes_no_copy_from_before_a_purge_told_meanwhile(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    cores, put, purges = cores_of(monkeypatch), Outbox.put, [2.0]
+
+    def crossing(self: Outbox, parts: Sequence[bytes], *more: Any) -> Any:
+        while purges and parts[0].startswith(b"fetch"):  # its fields are written down, no byte has gone out
+            cores[0].purge(int(KEY, 16), 0, time.time() - purges.pop())
+        return put(self, parts, *more)
+
+    monkeypatch.setattr(Outbox, "put", crossing)
+    async with world(serve, serve) as w, client(w) as c:
+        await c.ask()
+        assert (await c.reply()).kind == "served"
+        caps = [int(f.fields["cap"]) for cache in w.caches for f in cache.fetches]
+        assert len(caps) == 1 and 2000 <= caps[0] < 3000
--- a/zincladder/core/engine.py
+++ b/zincladder/core/engine.py
@@ -72,6 +72,8 @@
     in_time: Callable[[], bool] = lambda: True  # whether `begin_by` is still ahead
     member_ready: Callable[[], bool] = lambda: True  # else it is the source that may not be named any more
     age_now: Callable[[], float] = lambda: 0.0  # the oldest copy that will do, as of that moment
+    oldest: float | None = None  # the same, as its fields say it; None until they are written down
+    purged: Callable[[], bool] = lambda: False  # whether a purge since then asks for a younger copy
 
 
 class Carrier(Protocol):
@@ -404,11 +406,15 @@
             order.parent_passes = action.parent_passes
         order.written = self.figures.written
         order.may_go = lambda: (
-            self._ready(order.member, order.source) and order.in_time() and order.ask.wanted()
+            self._ready(order.member, order.source)
+            and order.in_time()
+            and not order.purged()
+            and order.ask.wanted()
         )
         order.in_time = lambda: self.clock.now() < order.begin_by
         order.member_ready = lambda: self._ready(order.member)
         order.age_now = lambda: self._age(order)
+        order.purged = lambda: order.oldest is not None and 0 < self._age(order) < (order.oldest or math.inf)
         scope = anyio.CancelScope(deadline=anyio.current_time() + max(0.0, until - now) + 1e-3)
         life.out[n] = (order, scope, now)
         self.figures.asked(action.member, now, self.classes.names[ask.klass])
--- a/zincladder/net/caches.py
+++ b/zincladder/net/caches.py
@@ -171,6 +171,8 @@
         return End(How.CALLED_OFF, why="its client has left")
     if not order.in_time():
         return End(How.TOO_LATE, why="its repeats are no longer dropped")
+    if order.purged():
+        return End(How.NOT_WRITTEN, why="its object was purged while it waited to be written")
     # The member, or the source of its fill, was told to drain.
     return End(How.TURNED, note=api.Note.SOURCE_FAILED if order.member_ready() else api.Note.NONE)
 
@@ -287,7 +289,7 @@
             link.settle()
 
     def _fetch(self, order: Order) -> list[bytes]:
-        ask = order.ask
+        ask, order.oldest = order.ask, order.age_now()
         fields = protocol.write_fetch(order, self._class_names[ask.klass], order.until - self._now())
         head = f"fetch {ask.trace} {fields} {len(ask.body)}\r\n".encode()
         return [head, ask.body, b"\r\n"]
