End connections to members in order: write side first, then read to their end

Seen: an idle connection, or one of a member that is gone, was closed at once; half a line from the cache in that moment made it a reset, and an `abort` written just before could go with it. Cause: net/caches.py, _Link.run closed the socket first. Now its own ends shut the write side down, read for 0.5 s at most and close; the descriptor counts until then, and one that lingers is the first to make room. Three tests over TCP, seen to fail without.

--- a/tests/test_member_links.py
+++ b/tests/test_member_links.py
@@ -16,10 +16,11 @@
 from tests.test_endings import cores_of
 from zincladder.admission.ledger import SHARED, Ledger, Use
 from zincladder.config import config_of
-from zincladder.core.ends import End
+from zincladder.core.ends import End, How
 from zincladder.core.engine import Ask, Order
+from zincladder.net import caches as cache_side
 from zincladder.net.caches import Caches, _Link
-from zincladder.net.stream import Outbox
+from zincladder.net.stream import LINGER, Outbox
 
 pytestmark = pytest.mark.anyio
 LARGE = 1 << 20  # bytes: more than the systems of both sides hold between them
@@ -180,3 +181,63 @@
         assert (await c.reply()).kind == "served"
         caps = [int(f.fields["cap"]) for cache in w.caches for f in cache.fetches]
         assert len(caps) == 1 and 2000 <= caps[0] < 3000
+
+
+# This side's own end -------------------------------------------------------------------------------
+
+
+@pytest.mark.parametrize("room", [False, True])
+async def test_half_a_line_that_comes_at_the_end_of_a_resting_connection_makes_it_no_reset(
+    room: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    with pair() as (ours, theirs):
+        caches = Caches(config_of(configuration([])), time.time, Ledger(100, SHARED), ["page"])
+        async with anyio.create_task_group() as tasks:
+            link = _Link(ours, ())
+            caches._links[b"s-00000001"] = [link]
+            caches._ledger.force(Use.CACHES)
+            tasks.start_soon(caches._keep, b"s-00000001", link)
+            await anyio.wait_all_tasks_blocked()
+            theirs.sendall(b"a" * 16 + b" 200 te")  # in the front's system, and not read yet
+            if room:
+                assert caches._make_room()
+            else:
+                caches.close_idle(b"s-00000001")
+            await anyio.wait_all_tasks_blocked()
+            if room:
+                with anyio.fail_after(LINGER / 2):  # the descriptor is free at once
+                    while caches._links:
+                        await anyio.sleep(0.001)
+            else:
+                theirs.sendall(b"ll=local 0\r\n")
+            await anyio.wait_readable(theirs)
+            assert theirs.recv(100) == b""  # an end, and no ConnectionResetError
+            theirs.close()
+            with anyio.fail_after(5):
+                while caches._links:
+                    await anyio.sleep(0.001)
+            assert held(caches) == 0
+
+
+async def test_a_connection_that_lingers_makes_room_for_one_that_is_needed() -> None:
+    with pair() as (ours, theirs):
+        caches = Caches(config_of(configuration([])), time.time, Ledger(100, SHARED), ["page"])
+        async with anyio.create_task_group() as tasks:
+            link = _Link(ours, ())
+            caches._links[b"s-00000001"] = [link]
+            caches._ledger.force(Use.CACHES)
+            tasks.start_soon(caches._keep, b"s-00000001", link)
+            await anyio.wait_all_tasks_blocked()
+            caches.close_idle(b"s-00000001")
+            await anyio.wait_all_tasks_blocked()
+            assert held(caches) == 1  # the member has not ended its side
+            assert caches._make_room() and not caches._make_room()
+            with anyio.fail_after(LINGER / 2):
+                while held(caches):
+                    await anyio.sleep(0.001)
+            assert theirs.recv(100) == b""
+
+
+def test_how_of_a_purge_proves_that_nothing_ran() -> None:
+    held = order(may_go=lambda: False, purged=lambda: True)
+    assert cache_side._held_back(held).how is How.NOT_WRITTEN
--- a/zincladder/net/caches.py
+++ b/zincladder/net/caches.py
@@ -19,7 +19,7 @@
 from zincladder.core.ends import End, How
 from zincladder.core.engine import Order
 from zincladder.net import protocol
-from zincladder.net.stream import Ended, Entry, Inbox, Outbox, connect, left
+from zincladder.net.stream import LINGER, Ended, Entry, Inbox, Outbox, connect, left, lingering_close
 from zincladder.sparing import Sparing
 
 MOST_HEAD = 2048
@@ -66,6 +66,7 @@
         self.reading = False  # an answer has begun and is not whole
         self.used_at = monotonic()
         self.scope = anyio.CancelScope()
+        self.lingering = anyio.CancelScope()  # cancelled, it closes at once
 
     async def run(self) -> End:
         """Reads answers until the connection ends; what is open ends with it."""
@@ -83,12 +84,17 @@
             how, why = first.how, str(first)
         finally:
             self.closed = True
-            self.sock.close()
             for waiting in list(self.open.values()):
                 # Only an id of which no byte was written is proved never to have run.
                 unwritten = waiting.entry is not None and not waiting.entry.begun
                 cut = How.CUT if how in (How.CLOSED, How.IDLE) else how
                 waiting.finish(End(How.NOT_WRITTEN if unwritten else cut, why=why))
+            try:
+                if how is How.IDLE:  # this side's own end: the member may be in the middle of a line
+                    with self.lingering:
+                        await lingering_close(self.sock, LINGER)
+            finally:
+                self.sock.close()
         return End(how, why=why)
 
     async def _read(self) -> None:
@@ -311,7 +317,7 @@
         where = self._addresses.get(member)
         if where is None:
             raise OSError("the member is gone")
-        self._ledger.force(Use.CACHES)  # past its most by those that are making room
+        self._ledger.force(Use.CACHES)  # past its most by those that are making room, which close at once
         try:
             with anyio.fail_after(self._config.settings.connect_timeout or CONNECT_LIMIT):
                 sock = await self._connect(where)
@@ -355,15 +361,17 @@
         return best
 
     def _make_room(self) -> bool:
-        """Guards the descriptors: the connection that was idle longest makes room."""
+        """Guards the descriptors: the connection that was idle longest makes room, or one that lingers."""
         idle = [
             link
             for links in self._links.values()
             for link in links
-            if not (link.open or link.closed or link.ending)
+            if not (link.open or link.lingering.cancel_called)
         ]
         if idle:
-            min(idle, key=lambda link: link.used_at).end()
+            first = min(idle, key=lambda link: link.used_at)
+            first.lingering.cancel()  # what is here already is read all the same
+            first.end()
         return bool(idle)
 
     async def _keep(self, member: api.MemberId, link: _Link) -> None:
