Ask again for an event that a watch left out, and bound the lines of a lost one

A watch that goes on with empty frames but without an event, or with a gap in the numbers, was followed as if all was well: a drain lost that way was never kept. Cause: net/feed.py took every number above the last one and ignored an empty frame's. Now a number that tells of an event which did not come ends the watch, and it is asked for from the last event on, once for each such number: a coordinator that has lost it is not asked for ever.

--- a/zincladder/net/feed.py
+++ b/zincladder/net/feed.py
@@ -17,6 +17,7 @@
 from zincladder.core.ends import How
 from zincladder.net.protocol import STATE_NAMES, STATES
 from zincladder.net.stream import Ended, Inbox, Outbox, connect
+from zincladder.sparing import Sparing
 
 HEAD = struct.Struct(">IQB")
 RECORD = struct.Struct(">I4sHBBBHIQ")
@@ -121,6 +122,8 @@
         self.connected = self.heard = False  # followed now; and at least once
         self._turn = anyio.CancelScope()
         self._pause = RETRY[0]
+        self._missed = 0  # the number that told of events which did not come
+        self._warn = Sparing()
 
     def follow(self, coordinator: Address) -> None:
         """Goes on at another address, from the last event: the old one tells nothing more."""
@@ -136,7 +139,8 @@
                 except (Ended, OSError, TimeoutError) as fault:
                     if self.connected:
                         self._pause = RETRY[0]
-                    log.warning("coordinator lost", why=str(fault) or type(fault).__name__, last=self.last)
+                    why = str(fault) or type(fault).__name__
+                    self._warn.warning("coordinator lost", why=why, last=self.last)
                 except (
                     Exception
                 ):  # guards drains and purges: whatever goes wrong, the coordinator is followed again
@@ -159,9 +163,20 @@
                         raise Ended(How.GARBLED, f"a frame of {length} bytes")
                     payload = await inbox.exactly(length - (HEAD.size - 4))
                 self.connected = self.heard = True
+                self._count(kind, number)
                 news = read_frame(kind, number, payload)
                 if news is not None and number > self.last:
                     self._tell(news)
                     self.last = number
         finally:
             sock.close()
+
+    def _count(self, kind: int, number: int) -> None:
+        """Guards drains and purges: a watch that goes on without one of its events is as bad as a silent one.
+
+        Events are numbered without a gap, and an empty frame bears the newest one's number. What is missing
+        is asked for once: a coordinator that does not have it any more would be asked for ever.
+        """
+        if number > self.last + (kind != NOTHING) and number != self._missed:
+            self._missed = number
+            raise Ended(How.CUT, f"events after {self.last} did not come")
