Let a request that waits for its connection go on one that falls idle meanwhile

Cause: net/caches.py, _link waited for its own connect alone. Now who waits longest is handed the connection that an answer has just left idle, and its own connect ends. Not one that was given up on: there a connect that fails proves that nothing ran. Ruled out: sharing busy connections when a connect fails (19 and 30 cases), which would tie requests to each other's ends. Six tests over sockets, crossings by hooks; each seen to fail without its part.

--- a/tests/test_member_links.py
+++ b/tests/test_member_links.py
@@ -12,15 +12,16 @@
 import anyio
 import pytest
 
-from tests.stands import KEY, Fetch, StubCache, client, configuration, serve, world
+from tests.stands import KEY, SETTINGS, Fetch, StubCache, client, configuration, serve, world
 from tests.test_endings import cores_of
+from tests.test_front import hold
 from zincladder.admission.ledger import SHARED, Ledger, Use
 from zincladder.config import config_of
 from zincladder.core.ends import End, How
 from zincladder.core.engine import Ask, Order
 from zincladder.net import caches as cache_side
 from zincladder.net.caches import Caches, _Link
-from zincladder.net.stream import LINGER, Outbox
+from zincladder.net.stream import LINGER, Outbox, connect
 
 pytestmark = pytest.mark.anyio
 LARGE = 1 << 20  # bytes: more than the systems of both sides hold between them
@@ -42,7 +43,7 @@
             yield ours, theirs
 
 
-def held(caches: Caches) -> int:
+def held_by(caches: Caches) -> int:
     """Descriptors of connections to members."""
     return caches._ledger.accounts[Use.CACHES].used
 
@@ -216,7 +217,7 @@
             with anyio.fail_after(5):
                 while caches._links:
                     await anyio.sleep(0.001)
-            assert held(caches) == 0
+            assert held_by(caches) == 0
 
 
 async def test_a_connection_that_lingers_makes_room_for_one_that_is_needed() -> None:
@@ -230,10 +231,10 @@
             await anyio.wait_all_tasks_blocked()
             caches.close_idle(b"s-00000001")
             await anyio.wait_all_tasks_blocked()
-            assert held(caches) == 1  # the member has not ended its side
+            assert held_by(caches) == 1  # the member has not ended its side
             assert caches._make_room() and not caches._make_room()
             with anyio.fail_after(LINGER / 2):
-                while held(caches):
+                while held_by(caches):
                     await anyio.sleep(0.001)
             assert theirs.recv(100) == b""
 
@@ -241,3 +242,164 @@
 def test_how_of_a_purge_proves_that_nothing_ran() -> None:
     held = order(may_go=lambda: False, purged=lambda: True)
     assert cache_side._held_back(held).how is How.NOT_WRITTEN
+
+
+# Connections that come up late -----------------------------------------------------------------------
+
+
+def hang_after(monkeypatch: pytest.MonkeyPatch, first: int, let: anyio.Event | None = None) -> list[int]:
+    """Connections to members past the first so many do not come up, or not until `let`; counts the tries."""
+    tried = [0]
+
+    async def connecting(host: str, port: int) -> socket.socket:
+        tried[0] += 1
+        if tried[0] > first:
+            await (let.wait() if let else anyio.sleep_forever())
+        return await connect(host, port)
+
+    monkeypatch.setattr(cache_side, "connect", connecting)
+    return tried
+
+
+def caches_of(monkeypatch: pytest.MonkeyPatch) -> list[Caches]:
+    """The carriers of the fronts that are started from now on."""
+    made: list[Caches] = []
+    init = Caches.__init__
+
+    def keep(self: Caches, *how: Any) -> None:
+        made.append(self)
+        init(self, *how)
+
+    monkeypatch.setattr(Caches, "__init__", keep)
+    return made
+
+
+class Held:
+    """A script that answers when it is let."""
+
+    def __init__(self) -> None:
+        self.let = anyio.Event()
+
+    async def __call__(self, cache: StubCache, fetch: Fetch) -> None:
+        await self.let.wait()
+        await serve(cache, fetch)
+
+
+async def test_a_request_whose_connection_comes_up_late_goes_on_one_that_falls_idle(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    tried, held = hang_after(monkeypatch, 1), Held()
+    async with world(held) as w, client(w) as c:
+        await c.ask(entity=f"{1:016x}")
+        while not w.caches[0].fetches:
+            await anyio.sleep(0.001)
+        await c.ask(entity=f"{2:016x}")
+        while tried[0] < 2:
+            await anyio.sleep(0.001)
+        held.let.set()
+        with anyio.fail_after(SETTINGS["ceilings"]["connectTimeout"] / 2):
+            assert [(await c.reply()).kind for _ in range(2)] == ["served", "served"]
+        assert w.caches[0].connections == 1 and len(w.caches[0].fetches) == 2
+
+
+async def test_the_longest_waiting_is_served_first_and_each_once(monkeypatch: pytest.MonkeyPatch) -> None:
+    let = anyio.Event()
+    tried, held = hang_after(monkeypatch, 1, let), Held()
+    async with world(held) as w, client(w) as c:
+        for n in range(1, 6):
+            await c.ask(entity=f"{n:016x}")
+            while tried[0] < n:
+                await anyio.sleep(0.001)
+        held.let.set()
+        with anyio.fail_after(5):
+            replies = [await c.reply() for _ in range(5)]
+        assert [r.body for r in replies] == [f"{n:016x}".encode() for n in range(1, 6)]
+        assert [r.seq for r in replies] == [1, 2, 3, 4, 5] and w.caches[0].connections == 1
+        let.set()  # nobody is left to whom one could come up
+        await c.ask()
+        assert (await c.reply()).kind == "served" and w.caches[0].connections == 1
+
+
+async def test_a_connection_that_was_given_up_on_is_handed_to_nobody(monkeypatch: pytest.MonkeyPatch) -> None:
+    # its machine may be cut off: a connection that does not come up proves that the request never ran
+    tried, made = hang_after(monkeypatch, 1), caches_of(monkeypatch)
+    async with world(hold, origin=hold) as w, client(w) as c:
+        first = await c.ask(b"order", route="booking", trace="a" * 16)
+        while not w.caches[-1].fetches:
+            await anyio.sleep(0.001)
+        await c.ask(b"order", route="booking", trace="b" * 16)
+        while tried[0] < 2:
+            await anyio.sleep(0.001)
+        await c.withdraw(first)
+        while not w.caches[-1].aborts:
+            await anyio.sleep(0.001)
+        (link,) = made[0]._links[w.caches[-1].name.encode()]
+        assert not (link.open or link.promised) and made[0]._wanted
+        assert [f.name for f in w.caches[-1].fetches] == ["a" * 16]
+
+
+async def test_a_connection_that_ends_before_its_next_request_begins_leaves_it_unsent(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    tried, held = hang_after(monkeypatch, 1), Held()
+    hand_on = Caches._hand_on
+
+    def crossing(self: Caches, member: bytes, link: _Link) -> None:
+        hand_on(self, member, link)
+        if link.promised:
+            self.close_idle(member)  # its member is gone
+
+    monkeypatch.setattr(Caches, "_hand_on", crossing)
+    async with world(hold, origin=held) as w, client(w) as c:
+        await c.ask(b"order", route="booking", trace="a" * 16)
+        while not w.caches[-1].fetches:
+            await anyio.sleep(0.001)
+        await c.ask(b"order", route="booking", trace="b" * 16)
+        while tried[0] < 2:
+            await anyio.sleep(0.001)
+        held.let.set()
+        with anyio.fail_after(5):
+            assert {(await c.reply()).kind for _ in range(2)} == {"served", "Throttled"}
+        assert [f.name for f in w.caches[-1].fetches] == ["a" * 16]
+
+
+async def test_a_request_that_is_given_up_while_it_waits_leaves_its_place_and_its_descriptor(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    tried, made = hang_after(monkeypatch, 0), caches_of(monkeypatch)
+    async with world(serve) as w, client(w) as c:
+        seq = await c.ask()
+        while not tried[0]:
+            await anyio.sleep(0.001)
+        before = held_by(made[0])
+        await c.withdraw(seq)
+        with anyio.fail_after(SETTINGS["ceilings"]["connectTimeout"] / 2):
+            while made[0]._wanted:
+                await anyio.sleep(0.001)
+        assert held_by(made[0]) == before - 1
+
+
+async def test_a_connection_promised_to_a_request_that_is_given_up_goes_to_the_next(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    hang_after(monkeypatch, 0)
+    with pair() as (ours, _):
+        caches, member = (
+            Caches(config_of(configuration([])), time.time, Ledger(100, SHARED), ["page"]),
+            b"s-1",
+        )
+        caches.know(member, ("127.0.0.1", 1))
+        link, got = _Link(ours, ()), list[tuple[bytes, _Link]]()
+        async with anyio.create_task_group() as tasks:
+            scopes = [anyio.CancelScope(), anyio.CancelScope()]
+
+            async def waits(name: bytes, scope: anyio.CancelScope) -> None:
+                with scope:
+                    got.append((name, await caches._link(member, name)))
+
+            for name, scope in zip((b"a", b"b"), scopes, strict=True):
+                tasks.start_soon(waits, name, scope)
+                await anyio.wait_all_tasks_blocked()
+            caches._hand_on(member, link)
+            scopes[0].cancel()  # in the same turn of the loop
+        assert got == [(b"b", link)] and not link.promised and not caches._wanted and held_by(caches) == 0
--- a/zincladder/net/caches.py
+++ b/zincladder/net/caches.py
@@ -7,6 +7,7 @@
 import socket
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
+from functools import partial
 from time import monotonic
 
 import anyio
@@ -54,15 +55,23 @@
             self.news.set()
 
 
+def nobody(link: _Link) -> None:
+    """Nobody waits for a connection that has fallen idle."""
+
+
 class _Link:
     """One connection to a member: many requests, answers in any order."""
 
-    def __init__(self, sock: socket.socket, report_names: Sequence[str]) -> None:
+    def __init__(
+        self, sock: socket.socket, report_names: Sequence[str], freed: Callable[[_Link], None] = nobody
+    ) -> None:
         self.sock, self._names = sock, report_names
+        self._freed = freed  # told when an answer has left nothing open here
         self.inbox, self.outbox = Inbox(sock), Outbox(sock)
         self.open: dict[bytes, _Waiting] = {}
         self.names: dict[bytes, float] = {}  # used here lately: a second answer to one must find nobody
         self.closed = self.retired = self.ending = False
+        self.promised = False  # to a request that has not begun here yet
         self.reading = False  # an answer has begun and is not whole
         self.used_at = monotonic()
         self.scope = anyio.CancelScope()
@@ -128,6 +137,8 @@
                 self._end(words[1], fields, body, waiting)
             )  # if spoilt, it ends as all others here
             del self.open[words[0]]
+            if not self.open:
+                self._freed(self)
 
     def take(self, name: bytes) -> None:
         """Guards against a late answer or a second copy: an id is used once on a connection."""
@@ -171,6 +182,15 @@
         return End(how, body, report=figures, **told)
 
 
+@dataclass(slots=True, eq=False)
+class _Wanted:
+    """A request that waits for its connection to come up, or for another one that falls idle before."""
+
+    name: bytes
+    scope: anyio.CancelScope = field(default_factory=anyio.CancelScope)
+    link: _Link | None = None
+
+
 def _held_back(order: Order) -> End:
     """Not sent, and why: what was looked at before the first byte has changed since the decision."""
     if not order.ask.wanted():
@@ -194,6 +214,7 @@
         self._class_names = class_names  # by number; new settings change it in place
         self._addresses: dict[api.MemberId, Address] = {}
         self._links: dict[api.MemberId, list[_Link]] = {}
+        self._wanted: dict[api.MemberId, list[_Wanted]] = {}  # oldest first
         self._tasks: TaskGroup | None = None
         self._warn = Sparing()
         self._probes = 0
@@ -206,7 +227,7 @@
                 oldest = monotonic() - IDLE_SHARE * self._config.idle_close
                 for links in list(self._links.values()):
                     for link in links:
-                        if not link.open and link.used_at < oldest:
+                        if not (link.open or link.promised) and link.used_at < oldest:
                             link.end()
 
     def use(self, config: Config) -> None:
@@ -304,7 +325,8 @@
         """A connection with nothing else open on it where the descriptors allow, else the least busy one.
 
         Guards each request against what happens to others: one spoilt answer or reset ends all that is open
-        on its connection. All that wait for a member that does not come up wait at the same time.
+        on its connection. All that wait for a member that does not come up wait at the same time, and
+        none of them longer than until another connection falls idle.
         """
         usable = self._usable(member, name)
         if usable and not usable.open:
@@ -318,17 +340,50 @@
         if where is None:
             raise OSError("the member is gone")
         self._ledger.force(Use.CACHES)  # past its most by those that are making room, which close at once
+        wanted, sock = _Wanted(name), None
+        self._wanted.setdefault(member, []).append(wanted)
         try:
-            with anyio.fail_after(self._config.settings.connect_timeout or CONNECT_LIMIT):
+            with wanted.scope, anyio.fail_after(self._config.settings.connect_timeout or CONNECT_LIMIT):
                 sock = await self._connect(where)
-        except BaseException:
-            self._ledger.give(Use.CACHES)
+        except OSError:
+            if wanted.link is None:
+                raise
+        except BaseException:  # the request was given up
+            if wanted.link is not None:
+                self._hand_on(member, wanted.link)
             raise
-        link = _Link(sock, self._names)
-        self._links.setdefault(member, []).append(link)
-        assert self._tasks is not None
-        self._tasks.start_soon(self._keep, member, link)
-        return link
+        finally:
+            self._wanted[member].remove(wanted)
+            if not self._wanted[member]:
+                del self._wanted[member]
+            if sock is None:
+                self._ledger.give(Use.CACHES)
+        if sock is not None:
+            link = _Link(sock, self._names, partial(self._hand_on, member))
+            self._links.setdefault(member, []).append(link)
+            assert self._tasks is not None
+            self._tasks.start_soon(self._keep, member, link)
+            if wanted.link is None:
+                return link
+            self._hand_on(member, link)  # both came at once
+        assert wanted.link is not None
+        wanted.link.promised = False
+        if wanted.link.closed or wanted.link.ending:
+            raise OSError("the connection that fell idle has ended")
+        return wanted.link
+
+    def _hand_on(self, member: api.MemberId, link: _Link) -> None:
+        """A connection on which nothing is open any more: it is for the request that has waited longest.
+
+        Only an answer makes it one: a connection that was given up on may be that of a machine that is cut
+        off, and there only a new one, which does not come up, proves that the request never ran.
+        """
+        link.promised = False
+        for wanted in self._wanted.get(member, ()):
+            if wanted.link is None and self._fits(link, wanted.name) and not left(link.sock):
+                wanted.link, link.promised = link, True
+                wanted.scope.cancel()
+                return
 
     async def _connect(self, where: Address) -> socket.socket:
         try:
@@ -349,8 +404,7 @@
         for link in self._links.get(member, ()):
             if link.open and best is not None and len(link.open) >= len(best.open):
                 continue
-            full = len(link.open) >= self._config.streams or name in link.names
-            if full or link.closed or link.retired or link.ending or link.outbox.ended:
+            if not self._fits(link, name):
                 continue
             if not link.open:
                 if left(link.sock):  # its end has come and was not read yet: what is written now may be lost
@@ -360,13 +414,18 @@
             best = link
         return best
 
+    def _fits(self, link: _Link, name: bytes) -> bool:
+        """Whether one more request, of this name, may go out there."""
+        full = len(link.open) >= self._config.streams or link.promised or name in link.names
+        return not (full or link.closed or link.retired or link.ending or link.outbox.ended)
+
     def _make_room(self) -> bool:
         """Guards the descriptors: the connection that was idle longest makes room, or one that lingers."""
         idle = [
             link
             for links in self._links.values()
             for link in links
-            if not (link.open or link.lingering.cancel_called)
+            if not (link.open or link.promised or link.lingering.cancel_called)
         ]
         if idle:
             first = min(idle, key=lambda link: link.used_at)
