Read a load report in the order of the settings in force, not of those at the start

Seen by reading what SIGHUP changes: the decisions take a report's figures by place, in the order of `report.names` in force, while net/caches.py kept the names of the start: after new settings in another order a share of CPU was taken for a count of requests. Ruled out: class names, rules, windows and effects of open requests, which are held by a number that rests (core/classes.py). Now each connection asks for the names when an answer is read. Three cases over a connection that stood before the change, the two that differ seen to fail without.

--- a/tests/test_member_links.py
+++ b/tests/test_member_links.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import copy
 import math
 import socket
 import time
@@ -16,7 +17,7 @@
 from tests.test_endings import cores_of
 from tests.test_front import hold
 from zincladder.admission.ledger import SHARED, Ledger, Use
-from zincladder.config import config_of
+from zincladder.config import REPORTS, Config, config_of
 from zincladder.core.ends import End, How
 from zincladder.core.engine import Ask, Order
 from zincladder.net import caches as cache_side
@@ -55,10 +56,11 @@
 class Wire:
     """A connection to a member, whose side is played by hand."""
 
-    def __init__(self, link: _Link, member: socket.socket, tasks: anyio.abc.TaskGroup) -> None:
-        self.link, self.member, self._tasks = link, member, tasks
-        config = config_of(configuration([]))
+    def __init__(
+        self, config: Config, ours: socket.socket, member: socket.socket, tasks: anyio.abc.TaskGroup
+    ) -> None:
         self.caches = Caches(config, time.time, Ledger(100, SHARED), ["page"])
+        self.link, self.member, self._tasks = _Link(ours, self.caches._report_names), member, tasks
         self.ends: list[End] = []
 
     async def send(self, message: bytes, asks: Order) -> anyio.CancelScope:
@@ -100,12 +102,12 @@
 
 
 @contextlib.asynccontextmanager
-async def wire() -> AsyncIterator[Wire]:
+async def wire(config: Config | None = None) -> AsyncIterator[Wire]:
     with pair() as (ours, theirs):
         async with anyio.create_task_group() as tasks:
-            link = _Link(ours, ())
-            tasks.start_soon(link.run)
-            yield Wire(link, theirs, tasks)
+            found = Wire(config or config_of(configuration([])), ours, theirs, tasks)
+            tasks.start_soon(found.link.run)
+            yield found
             tasks.cancel_scope.cancel()
 
 
@@ -194,7 +196,7 @@
     with pair() as (ours, theirs):
         caches = Caches(config_of(configuration([])), time.time, Ledger(100, SHARED), ["page"])
         async with anyio.create_task_group() as tasks:
-            link = _Link(ours, ())
+            link = _Link(ours)
             caches._links[b"s-00000001"] = [link]
             caches._ledger.force(Use.CACHES)
             tasks.start_soon(caches._keep, b"s-00000001", link)
@@ -224,7 +226,7 @@
     with pair() as (ours, theirs):
         caches = Caches(config_of(configuration([])), time.time, Ledger(100, SHARED), ["page"])
         async with anyio.create_task_group() as tasks:
-            link = _Link(ours, ())
+            link = _Link(ours)
             caches._links[b"s-00000001"] = [link]
             caches._ledger.force(Use.CACHES)
             tasks.start_soon(caches._keep, b"s-00000001", link)
@@ -389,7 +391,7 @@
             b"s-1",
         )
         caches.know(member, ("127.0.0.1", 1))
-        link, got = _Link(ours, ()), list[tuple[bytes, _Link]]()
+        link, got = _Link(ours), list[tuple[bytes, _Link]]()
         async with anyio.create_task_group() as tasks:
             scopes = [anyio.CancelScope(), anyio.CancelScope()]
 
@@ -403,3 +405,23 @@
             caches._hand_on(member, link)
             scopes[0].cancel()  # in the same turn of the loop
         assert got == [(b"b", link)] and not link.promised and not caches._wanted and held_by(caches) == 0
+
+
+# Settings that change while a connection stands --------------------------------------------------------
+
+
+@pytest.mark.parametrize("names", [["rif", "busy"], ["busy"], ["busy", "rif"]])
+async def test_a_load_report_is_read_in_the_order_of_the_settings_in_force(names: list[str]) -> None:
+    # the decisions take each figure by its place: in the order of older settings, cores would be shares
+    settings = copy.deepcopy(SETTINGS)
+    settings["report"]["names"] = ["busy", "rif"]
+    before = config_of(configuration([], settings=settings))
+    settings = copy.deepcopy(settings)
+    settings["report"]["names"] = names
+    async with wire(before) as w:
+        await w.send(b"stats p1\r\n", order("a" * 16))
+        w.caches.use(config_of(configuration([], settings=settings)))
+        await w.answer(b"a" * 16 + b" 200 tell=local,meter=util:0.5;inflight:7 3\r\nown\r\n")
+        figures = {"busy": 0.5, "held": 7.0}
+        assert w.caches._report_names() == tuple(REPORTS.get(n, n) for n in names)
+        assert w.ends[0].report == tuple(figures[n] for n in w.caches._report_names())
--- a/zincladder/net/caches.py
+++ b/zincladder/net/caches.py
@@ -63,7 +63,10 @@
     """One connection to a member: many requests, answers in any order."""
 
     def __init__(
-        self, sock: socket.socket, report_names: Sequence[str], freed: Callable[[_Link], None] = nobody
+        self,
+        sock: socket.socket,
+        report_names: Callable[[], Sequence[str]] = tuple,
+        freed: Callable[[_Link], None] = nobody,
     ) -> None:
         self.sock, self._names = sock, report_names
         self._freed = freed  # told when an answer has left nothing open here
@@ -176,9 +179,9 @@
             told = protocol.read_answer(fields)
         except ValueError as fault:
             raise Ended(How.GARBLED, str(fault)) from None
-        # A load report counts whole or not at all, in the order of the settings.
-        report = told.pop("report", {})
-        figures = tuple(report[n] for n in self._names) if report.keys() >= set(self._names) else ()
+        # A load report counts whole or not at all, in the order of the settings that are in force by now.
+        report, names = told.pop("report", {}), self._names()
+        figures = tuple(report[n] for n in names) if report.keys() >= set(names) else ()
         return End(how, body, report=figures, **told)
 
 
@@ -210,7 +213,6 @@
         self, config: Config, now: Callable[[], float], ledger: Ledger, class_names: Sequence[str]
     ) -> None:
         self._config, self._now, self._ledger = config, now, ledger
-        self._names = config.settings.report_names
         self._class_names = class_names  # by number; new settings change it in place
         self._addresses: dict[api.MemberId, Address] = {}
         self._links: dict[api.MemberId, list[_Link]] = {}
@@ -234,6 +236,9 @@
         """A configuration that was read again: its limits hold from now on."""
         self._config = config
 
+    def _report_names(self) -> Sequence[str]:
+        return self._config.settings.report_names
+
     def know(self, member: api.MemberId, address: Address) -> None:
         """Where a member listens. An id is one process, so an address used again is another member's."""
         self._addresses[member] = address
@@ -359,7 +364,7 @@
             if sock is None:
                 self._ledger.give(Use.CACHES)
         if sock is not None:
-            link = _Link(sock, self._names, partial(self._hand_on, member))
+            link = _Link(sock, self._report_names, partial(self._hand_on, member))
             self._links.setdefault(member, []).append(link)
             assert self._tasks is not None
             self._tasks.start_soon(self._keep, member, link)
