Begin and end the round of probes with the settings in force

Seen by reading what SIGHUP changes: the round of probes began at the Router's first event or never, and went on for ever; new settings that forbid probes, or tell load in answers, were not heard, and settings that call for them began none. Cause: decide.py, handle looked at the first timer only, _probe at no settings. Now each event may begin the round and each turn of it may end it.

--- a/tests/test_defences.py
+++ b/tests/test_defences.py
@@ -6,6 +6,7 @@
 import os
 import subprocess
 import sys
+from dataclasses import replace
 from pathlib import Path
 from typing import Any
 
@@ -250,6 +251,24 @@
     assert not Driver(report_names=("link",), probes=True).router.timers
 
 
+@pytest.mark.parametrize("off", [{"probes": False}, {"load_by_probe": False}])
+def test_new_settings_begin_and_end_the_probes(off: dict[str, Any]) -> None:
+    d = Driver(report_names=("link",), load_by_probe=True, probes=True)
+    probed = d.router.settings
+    same = tuple(range(len(probed.classes)))
+    d.give(api.NewSettings(replace(probed, **off), same))
+    (token,) = d.router.timers
+    d.now += 0.5
+    assert d.give(api.TimerFired(token)) == [] and not d.router.timers  # they are not permitted any more
+    assert [type(a) for a in d.give(api.NewSettings(probed, same))] == []
+    d.change(cache(1))
+    (token,) = d.router.timers  # one round, by the first event under such settings
+    d.now += 0.5
+    assert [type(a) for a in d.give(api.TimerFired(token))] == [api.Probe, api.SetTimer]
+    d.change(cache(1))
+    assert len(d.router.timers) == 1
+
+
 def test_with_all_caches_gone_requests_pass_by_where_that_is_allowed() -> None:
     members = (parent(0), parent(1), FLEET[-1])
     sent = get(Driver(members).ask(1))
--- a/zincladder/decide.py
+++ b/zincladder/decide.py
@@ -142,15 +142,15 @@
         self.cores = 1.0  # transfers that one cache sends at full pace: judged where weights are not listed
         self.spare = ORIGIN_MOST  # fills from the origin that are left to this router
         self.near = 1.0  # share of what was asked of a neighbour that it held, lately
-        self.reports = 0  # of caches, that told of their cores
+        self.reports, self.probing = 0, False  # of caches, that told of their cores; the round of probes
         self.usual, self.link = 1.0, 0.0  # the median pace of the caches' hits; how full their link in is
         self.out: list[api.Action] = []
 
     def handle(self, event: api.Event, now: float) -> list[api.Action]:
         """The actions that answer one event."""
         self.out = []
-        if not self.tokens and self.settings.probes and self.settings.load_by_probe:
-            self._probe()  # the first event starts the round of probes
+        if not self.probing and self.settings.probes and self.settings.load_by_probe:
+            self._probe()  # the first event under such settings starts the round of probes
         match event:
             case api.Request():
                 self._arrived(event, now)
@@ -327,11 +327,10 @@
 
     def _allowed(self, job: Job, now: float) -> bool:
         """Guards rule 2: whether this request may be sent (again)."""
-        klass = job.klass
-        if klass.effect is api.Effect.SAFE or not job.may_have_run:
+        if job.klass.effect is api.Effect.SAFE or not job.may_have_run:
             return True
-        dropped = klass.effect is api.Effect.KEYED and klass.scope is api.Scope.ALL  # narrower: never again
-        return dropped and now < job.may_have_run[0] + klass.window
+        dropped = job.klass.effect is api.Effect.KEYED and job.klass.scope is api.Scope.ALL  # else never
+        return dropped and now < job.may_have_run[0] + job.klass.window
 
     def _arrived(self, request: api.Request, now: float) -> None:
         klass, pace = self.settings.classes[request.klass], self.settings.client_kb_per_s
@@ -483,9 +482,8 @@
         told = self.settings.faults_told or event.result is not api.Result.REFUSED
         if told or cache is None or source is None or cache.failing > source.failing + DOUBT:
             return {attempt.cache}
-        if source.failing > cache.failing + DOUBT:
-            return {attempt.source}
-        return {attempt.cache, attempt.source}
+        doubtful = source.failing <= cache.failing + DOUBT
+        return {attempt.cache, attempt.source} if doubtful else {attempt.source}
 
     def _judge(self, event: api.AttemptEnded, attempt: Attempt, blamed: api.MemberIds, now: float) -> None:
         """Files an outcome under the member it tells of: the fill's source, or the cache asked."""
@@ -557,7 +555,9 @@
 
     def _probe(self) -> None:
         """Asks the caches in turn for the load that their answers do not carry."""
+        self.probing = self.settings.probes and self.settings.load_by_probe
         ready = [i for i in self.caches.ids if self.seen[i].member.state is api.State.READY]
-        if ready:
+        if ready and self.probing:
             self.out.append(api.Probe(ready[self.tokens % len(ready)]))
-        self._set_timer(PROBE_EVERY, PROBING)
+        if self.probing:  # new settings may end it
+            self._set_timer(PROBE_EVERY, PROBING)
