Close a lingering client connection at once when its descriptor is needed

Seen by reading what left: a connection that waits for its client's end still counts as idle, so admission chose it to make room; Clients._evict then did nothing, and Door._admit asked again without a pause until the 0.5 s were over: nobody was taken, and the loop was busy. Cause: net/clients.py, _evict returned for one that has ended. Now the wait is cancelled, what is here already is read, and the descriptor is free in the next turn of the loop. Test with 22 clients that never end their side and a wait of 60 s: served in under 20 looks at admission; seen to fail without.

--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -287,6 +287,29 @@
             assert KEY.encode() in await some(newest)  # another one made room
 
 
+async def test_clients_that_do_not_end_their_side_give_their_descriptors_to_who_comes(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr("zincladder.net.clients.LINGER", 60.0)
+    monkeypatch.setattr("zincladder.admission.plain.SETTLED", 0.0)
+    looks, ready = [0], Plain.ready
+
+    def counted(self: Plain, now: float) -> Any:
+        looks[0] += 1
+        return ready(self, now)
+
+    async with world(serve, limits={"sockets": 40}) as w:  # 22 of these descriptors are the clients'
+        with contextlib.ExitStack() as crowd:
+            for _ in range(22):
+                sock = crowd.enter_context(plain(w))
+                _garble(w, sock)
+                assert await rest(sock) == b""  # the front has ended its side, and waits for this one's
+            monkeypatch.setattr(Plain, "ready", counted)
+            newest = crowd.enter_context(plain(w))
+            newest.sendall(request(1))
+            assert KEY.encode() in await some(newest) and looks[0] < 20
+
+
 def test_a_seat_that_stays_is_not_waited_for() -> None:
     # else the listener would wait for ever for the descriptor of one that was not closed
     admission = Plain(Bounds(8, 8), Ledger(10, PLAIN, own=0))
--- a/zincladder/net/clients.py
+++ b/zincladder/net/clients.py
@@ -77,6 +77,7 @@
     frame_at: float = 0.0  # when the message that is coming began
     taken_back: int = 0
     linger: float | None = None  # seconds for which its own end is waited for; None: it has come
+    lingering: anyio.CancelScope = field(default_factory=anyio.CancelScope)  # cancelled, it closes at once
 
     def end(self, linger: float | None = None) -> None:
         """Guards what is to come: nothing of this client is passed on from here."""
@@ -205,7 +206,10 @@
 
     def _evict(self, seat: Seat, why: Why) -> None:
         client = self._clients.get(seat)
-        if client is None or client.ended:
+        if client is None:
+            return
+        if client.ended:
+            client.lingering.cancel()  # what is here already is read all the same
             return
         name = "crowded" if why is Why.FULL else why.value
         if self._retire(client, name, AT_ONCE):
@@ -284,8 +288,11 @@
         finally:
             try:
                 if client.linger is not None:
-                    await client.outbox.finish(client.linger)
-                    await lingering_close(sock, client.linger)
+                    with client.lingering:
+                        await client.outbox.finish(client.linger)
+                        await lingering_close(sock, client.linger)
+                    if client.lingering.cancelled_caught:
+                        await lingering_close(sock, AT_ONCE)
             finally:
                 del self._clients[client.seat]
                 client.outbox.forget()
