--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -4,9 +4,11 @@
 
 import contextlib
 import copy
+import errno
 import os
 import socket
 import struct
+from collections import Counter
 from collections.abc import Callable, Iterator
 from typing import Any
 
@@ -14,12 +16,13 @@
 import pytest
 from anyio.abc import SocketAttribute
 
-from tests.stands import KEY, SETTINGS, Fetch, Script, StubCache, World, client, serve, world
+from tests.stands import KEY, SETTINGS, Fetch, Script, StubCache, World, client, configuration, serve, world
 from tests.test_front import cut, hold
 from zincladder.admission.gate import Bounds
 from zincladder.admission.ledger import PLAIN, Ledger
 from zincladder.admission.model import Verdict
 from zincladder.admission.plain import Plain
+from zincladder.config import config_of
 from zincladder.core.engine import Clock, Core
 from zincladder.net import caches as cache_side
 from zincladder.net import thrift
@@ -99,6 +102,12 @@
     return made
 
 
+def refuses(w: World) -> bool:
+    """Whether the front takes no new connection any more."""
+    with socket.socket() as sock:
+        return sock.connect_ex(w.listening.clients) == errno.ECONNREFUSED
+
+
 def on_connect(monkeypatch: pytest.MonkeyPatch, act: Callable[[int], None]) -> None:
     """Calls `act` with the connection's number when one to a member has come up, before anything is sent."""
     made = 0
@@ -411,6 +420,81 @@
         assert len(first) == came
 
 
+def _effects(*rows: tuple[str, str]) -> dict[str, Any]:
+    """Settings whose classes have these names, in this order, and these effects."""
+    settings = copy.deepcopy(SETTINGS)
+    by_name = {row["name"]: row for row in settings["categories"]}
+    settings["categories"] = [by_name[name] | {"effect": effect} for name, effect in rows]
+    settings["domain"]["neverKept"] = [name == "booking" for name, _ in rows]
+    settings["domain"]["freshFor"] = settings["domain"]["usableAfter"] = [0.0] * len(rows)
+    return settings
+
+
+SAFE, ONCE = "idempotent", "at_most_once"
+
+
+@pytest.mark.parametrize(
+    "after",
+    [
+        [("video", SAFE), ("page", ONCE), ("booking", SAFE)],  # other rules under the same names
+        [("booking", SAFE), ("page", ONCE), ("video", SAFE)],  # and in another order
+        [("booking", SAFE), ("page", ONCE)],  # and a class less: its number is free
+    ],
+)
+async def test_requests_of_one_connection_keep_each_the_rules_under_which_they_were_taken(
+    after: list[tuple[str, str]], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    cores, runs, lose = cores_of(monkeypatch), Counter[str](), anyio.Event()
+
+    async def loses_the_first(cache: StubCache, fetch: Fetch) -> None:
+        runs[fetch.name] += 1
+        if runs[fetch.name] > 1:
+            return await serve(cache, fetch)
+        await lose.wait()
+        await cut(cache, fetch)
+
+    before = _effects(("video", SAFE), ("page", SAFE), ("booking", ONCE))
+    scripts = [loses_the_first] * 2
+    async with world(*scripts, origin=loses_the_first, settings=before) as w, client(w) as c:
+        asked = [await c.ask(route="page"), await c.ask(b"order", route="booking")]
+        while sum(runs.values()) < 2:
+            await anyio.sleep(0.001)
+        config = config_of(configuration([], settings=_effects(*after)))
+        cores[0].retune(config.settings, config.names.classes)
+        asked += [await c.ask(route="page"), await c.ask(b"order", route="booking")]
+        while sum(runs.values()) < 4:
+            await anyio.sleep(0.001)
+        lose.set()
+        with anyio.fail_after(5):
+            kinds = {(reply := await c.reply()).seq: reply.kind for _ in asked}
+        assert [kinds[seq] for seq in asked] == ["served", "Broken", "Broken", "served"]
+        assert [runs[f"{seq:016x}"] for seq in asked] == [2, 1, 1, 2]
+
+
+async def test_what_is_queued_for_a_slow_reader_leaves_after_sigterm(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr("zincladder.net.clients.STAY", 0.01)
+    body, cores = bytes(200_000), cores_of(monkeypatch)
+
+    async def large(_: StubCache, fetch: Fetch) -> None:
+        await fetch.answer(200, "tell=local,rev=aa,since=1", body)
+
+    async with world(large) as w:
+        with socket.socket() as sock:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 2048)
+            sock.connect(w.listening.clients)
+            sock.setblocking(False)
+            sock.sendall(
+                b"".join(request(n) for n in range(1, 21))
+            )  # 4 MB of answers
+            while cores[0].counts["answers", "served"] < 20:
+                await anyio.sleep(0.001)
+            w.stopping.set()
+            while not refuses(w):
+                await anyio.sleep(0.001)
+            answers = await rest(sock)
+        assert answers.count(body) == 20
+
+
 # Answers that were given up ------------------------------------------------------------------------
 
 
