--- a/zincladder/agreement/member.py
+++ b/zincladder/agreement/member.py
@@ -307,8 +307,8 @@
             peer.waiting = False
             self._commit()
         elif m.index <= peer.match:
-            # Stored and gone again in one term: it runs on an older directory, unless its word came late. By 0
-            # it answers what this leader sent in an earlier term, and tells nothing of what it has stored.
+            # Stored and gone again in one term: it runs on an older directory, unless its word came late. 0
+            # answers what this leader sent in an earlier term, and tells nothing of what it has stored.
             peer.older |= m.index > 0 and m.serial > peer.match_serial
             return
         elif m.index == peer.next - 1:
