--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -47,11 +47,12 @@
     (tmp_path / "test_some.py").write_text(TESTS)
     (tmp_path / "pytest.ini").write_text("[pytest]\n")
     (tmp_path / "KNOWN-RED.txt").write_text(listed)
-    command = [sys.executable, "-m", "pytest", "-q", "-p", "tests.known_red", "-n", str(workers)]
+    plugins = ["-p", "xdist.plugin", "-p", "tests.known_red"]  # the others cost seconds of each start
+    command = [sys.executable, "-m", "pytest", "-q", *plugins, "-n", str(workers)]
     ran = subprocess.run(
         [*command, "--known-red", "KNOWN-RED.txt"],
         cwd=tmp_path,
-        env=os.environ | {"PYTHONPATH": str(ROOT)},
+        env=os.environ | {"PYTHONPATH": str(ROOT), "PYTEST_DISABLE_PLUGIN_AUTOLOAD": "1"},
         capture_output=True,
         text=True,
         timeout=60,
