Send no request behind bytes that were left over on a connection at rest

Need: the next request on a connection is not read from what was left over (STANDING: more than belongs to an answer, half a line). Seen by reading: a connection with nothing open was used although half of a line that is nobody's lay in it, read or unread; 0.3 s later it was ended as broken off, with the new request on it, which may have run: a write failed that a clean connection would have served. Cause: net/caches.py, _usable looked for the member's end only, and _hand_on at what was open. Now one that holds an unfinished message, or bytes not read yet, gets no request until they are read and whole. Seven cases over sockets (head, noise, body; read and unread; at the hand-over), seen to fail without.

--- a/tests/test_member_links.py
+++ b/tests/test_member_links.py
@@ -5,6 +5,7 @@
 import contextlib
 import copy
 import math
+import os
 import socket
 import time
 from collections.abc import AsyncIterator, Callable, Sequence
@@ -12,6 +13,7 @@
 
 import anyio
 import pytest
+from anyio.abc import SocketAttribute
 
 from tests.stands import KEY, SETTINGS, Fetch, StubCache, client, configuration, serve, world
 from tests.test_endings import cores_of
@@ -426,3 +428,78 @@
         figures = {"busy": 0.5, "held": 7.0}
         assert w.caches._report_names() == tuple(REPORTS.get(n, n) for n in names)
         assert w.ends[0].report == tuple(figures[n] for n in w.caches._report_names())
+
+
+LEFT_OVER = [b"f" * 16 + b" 200 te", b"\xff" * 40, b"f" * 16 + b" 200 tell=local 6\r\nabc"]
+
+
+def push(fetch: Fetch, data: bytes) -> None:
+    """Sends what belongs to no request on the connection of this one, at once."""
+    number = fetch.stream.extra(SocketAttribute.raw_socket).fileno()
+    with socket.socket(fileno=os.dup(number)) as sock:
+        sock.sendall(data)
+
+
+# What was left over ------------------------------------------------------------------------------------
+
+
+@pytest.mark.parametrize("read", [True, False])
+@pytest.mark.parametrize(
+    "more", [b"f" * 16 + b" 200 te", b"\xff" * 40, b"f" * 16 + b" 200 tell=local 6\r\nabc"]
+)
+async def test_a_request_does_not_go_out_behind_what_was_left_over(
+    more: bytes, read: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    # half an answer that is nobody's ends its connection soon: a write that goes out there may have run
+    waiting, link_for = list[Fetch](), Caches._link
+
+    async def answers(cache: StubCache, fetch: Fetch) -> None:
+        await serve(cache, fetch)
+        if len(cache.fetches) == 1:
+            waiting.append(fetch)
+
+    def crossing(self: Caches, member: bytes, name: bytes) -> Any:
+        while waiting and cores[0].lives:
+            push(waiting.pop(), more)  # it comes just before the next request goes out
+        return link_for(self, member, name)
+
+    cores = cores_of(monkeypatch)
+    made = caches_of(monkeypatch)
+    async with world(serve, origin=answers) as w, client(w) as c:
+        await c.ask(b"order", route="booking")
+        assert (await c.reply()).kind == "served"
+        if read:
+            (link,) = made[0]._links[w.caches[-1].name.encode()]
+            received = link.inbox.received
+            push(waiting.pop(), more)
+            while link.inbox.received == received:
+                await anyio.sleep(0.001)
+        else:
+            monkeypatch.setattr(Caches, "_link", crossing)
+        await c.ask(b"order", route="booking")
+        assert (await c.reply()).kind == "served"
+        assert len(w.caches[-1].fetches) == 2 and w.caches[-1].connections == 2
+
+
+async def test_a_connection_with_more_than_its_answer_is_handed_to_nobody(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    tried, held = hang_after(monkeypatch, 1), anyio.Event()
+
+    async def more(_: StubCache, fetch: Fetch) -> None:
+        await held.wait()
+        await fetch.stream.send(
+            f"{fetch.name} 200 tell=local,rev=a,since=1 2\r\nok\r\n{'f' * 16} 200 te".encode()
+        )
+
+    made = caches_of(monkeypatch)
+    async with world(more) as w, client(w) as c:
+        await c.ask(entity=f"{1:016x}")
+        while not w.caches[0].fetches:
+            await anyio.sleep(0.001)
+        await c.ask(entity=f"{2:016x}")
+        while tried[0] < 2:
+            await anyio.sleep(0.001)
+        held.set()
+        assert (await c.reply()).body == b"ok"
+        assert made[0]._wanted and len(w.caches[0].fetches) == 1
--- a/zincladder/net/caches.py
+++ b/zincladder/net/caches.py
@@ -76,7 +76,7 @@
         self.names: dict[bytes, float] = {}  # used here lately: a second answer to one must find nobody
         self.closed = self.retired = self.ending = False
         self.promised = False  # to a request that has not begun here yet
-        self.reading = False  # an answer has begun and is not whole
+        self.reading = False  # an answer, or what may be one, has begun and is not whole
         self.used_at = monotonic()
         self.scope = anyio.CancelScope()
         self.lingering = anyio.CancelScope()  # cancelled, it closes at once
@@ -141,6 +141,7 @@
                 self._end(words[1], fields, body, waiting)
             )  # if spoilt, it ends as all others here
             del self.open[words[0]]
+            self.reading = self.inbox.buffered() > 0
             if not self.open:
                 self._freed(self)
 
@@ -386,7 +387,7 @@
         """
         link.promised = False
         for wanted in self._wanted.get(member, ()):
-            if wanted.link is None and self._fits(link, wanted.name) and not left(link.sock):
+            if wanted.link is None and self._fits(link, wanted.name) and self._rests(link):
                 wanted.link, link.promised = link, True
                 wanted.scope.cancel()
                 return
@@ -413,17 +414,32 @@
             if not self._fits(link, name):
                 continue
             if not link.open:
+                if self._rests(link):
+                    return link
                 if left(link.sock):  # its end has come and was not read yet: what is written now may be lost
                     link.end()
-                    continue
-                return link
+                continue
             best = link
         return best
 
     def _fits(self, link: _Link, name: bytes) -> bool:
-        """Whether one more request, of this name, may go out there."""
+        """Whether one more request, of this name, may go out there.
+
+        Guards it against what was left over: bytes that are nobody's may be half of a line without end.
+        """
         full = len(link.open) >= self._config.streams or link.promised or name in link.names
-        return not (full or link.closed or link.retired or link.ending or link.outbox.ended)
+        left_over = link.reading and not link.open
+        return not (full or left_over or link.closed or link.retired or link.ending or link.outbox.ended)
+
+    def _rests(self, link: _Link) -> bool:
+        """Whether nothing has come there that was not read yet: what was left over, or the member's end."""
+        try:
+            link.sock.recv(1, socket.MSG_PEEK)
+        except (BlockingIOError, InterruptedError):
+            return True
+        except OSError:
+            pass
+        return False
 
     def _make_room(self) -> bool:
         """Guards the descriptors: the connection that was idle longest makes room, or one that lingers."""
