--- a/tests/test_member_links.py
+++ b/tests/test_member_links.py
@@ -339,7 +339,7 @@
         while not w.caches[-1].aborts:
             await anyio.sleep(0.001)
         (link,) = made[0]._links[w.caches[-1].name.encode()]
-        assert not (link.open or link.promised) and made[0]._wanted
+        assert not (link.open or link.reserved) and made[0]._waiters
         assert [f.name for f in w.caches[-1].fetches] == ["a" * 16]
 
 
@@ -351,7 +351,7 @@
 
     def crossing(self: Caches, member: bytes, link: _Link) -> None:
         hand_on(self, member, link)
-        if link.promised:
+        if link.reserved:
             self.close_idle(member)  # its member is gone
 
     monkeypatch.setattr(Caches, "_hand_on", crossing)
@@ -379,7 +379,7 @@
         before = held_by(made[0])
         await c.withdraw(seq)
         with anyio.fail_after(SETTINGS["ceilings"]["connectTimeout"] / 2):
-            while made[0]._wanted:
+            while made[0]._waiters:
                 await anyio.sleep(0.001)
         assert held_by(made[0]) == before - 1
 
@@ -407,7 +407,7 @@
                 await anyio.wait_all_tasks_blocked()
             caches._hand_on(member, link)
             scopes[0].cancel()  # in the same turn of the loop
-        assert got == [(b"b", link)] and not link.promised and not caches._wanted and held_by(caches) == 0
+        assert got == [(b"b", link)] and not link.reserved and not caches._waiters and held_by(caches) == 0
 
 
 # Settings that change while a connection stands --------------------------------------------------------
@@ -502,4 +502,4 @@
             await anyio.sleep(0.001)
         held.set()
         assert (await c.reply()).body == b"ok"
-        assert made[0]._wanted and len(w.caches[0].fetches) == 1
+        assert made[0]._waiters and len(w.caches[0].fetches) == 1
--- a/zincladder/net/caches.py
+++ b/zincladder/net/caches.py
@@ -75,7 +75,7 @@
         self.open: dict[bytes, _Waiting] = {}
         self.names: dict[bytes, float] = {}  # used here lately: a second answer to one must find nobody
         self.closed = self.retired = self.ending = False
-        self.promised = False  # to a request that has not begun here yet
+        self.reserved = False  # for a request that has not begun here yet
         self.reading = False  # an answer, or what may be one, has begun and is not whole
         self.used_at = monotonic()
         self.scope = anyio.CancelScope()
@@ -188,7 +188,7 @@
 
 
 @dataclass(slots=True, eq=False)
-class _Wanted:
+class _Waiter:
     """A request that waits for its connection to come up, or for another one that falls idle before."""
 
     name: bytes
@@ -218,7 +218,7 @@
         self._class_names = class_names  # by number; new settings change it in place
         self._addresses: dict[api.MemberId, Address] = {}
         self._links: dict[api.MemberId, list[_Link]] = {}
-        self._wanted: dict[api.MemberId, list[_Wanted]] = {}  # oldest first
+        self._waiters: dict[api.MemberId, list[_Waiter]] = {}  # oldest first
         self._tasks: TaskGroup | None = None
         self._warn = Sparing()
         self._probes = 0
@@ -231,7 +231,7 @@
                 oldest = monotonic() - IDLE_SHARE * self._config.idle_close
                 for links in list(self._links.values()):
                     for link in links:
-                        if not (link.open or link.promised) and link.used_at < oldest:
+                        if not (link.open or link.reserved) and link.used_at < oldest:
                             link.end()
 
     def use(self, config: Config) -> None:
@@ -347,22 +347,22 @@
         if where is None:
             raise OSError("the member is gone")
         self._ledger.force(Use.CACHES)  # past its most by those that are making room, which close at once
-        wanted, sock = _Wanted(name), None
-        self._wanted.setdefault(member, []).append(wanted)
+        waiter, sock = _Waiter(name), None
+        self._waiters.setdefault(member, []).append(waiter)
         try:
-            with wanted.scope, anyio.fail_after(self._config.settings.connect_timeout or CONNECT_LIMIT):
+            with waiter.scope, anyio.fail_after(self._config.settings.connect_timeout or CONNECT_LIMIT):
                 sock = await self._connect(where)
         except OSError:
-            if wanted.link is None:
+            if waiter.link is None:
                 raise
         except BaseException:  # the request was given up
-            if wanted.link is not None:
-                self._hand_on(member, wanted.link)
+            if waiter.link is not None:
+                self._hand_on(member, waiter.link)
             raise
         finally:
-            self._wanted[member].remove(wanted)
-            if not self._wanted[member]:
-                del self._wanted[member]
+            self._waiters[member].remove(waiter)
+            if not self._waiters[member]:
+                del self._waiters[member]
             if sock is None:
                 self._ledger.give(Use.CACHES)
         if sock is not None:
@@ -370,14 +370,14 @@
             self._links.setdefault(member, []).append(link)
             assert self._tasks is not None
             self._tasks.start_soon(self._keep, member, link)
-            if wanted.link is None:
+            if waiter.link is None:
                 return link
             self._hand_on(member, link)  # both came at once
-        assert wanted.link is not None
-        wanted.link.promised = False
-        if wanted.link.closed or wanted.link.ending:
+        assert waiter.link is not None
+        waiter.link.reserved = False
+        if waiter.link.closed or waiter.link.ending:
             raise OSError("the connection that fell idle has ended")
-        return wanted.link
+        return waiter.link
 
     def _hand_on(self, member: api.MemberId, link: _Link) -> None:
         """A connection on which nothing is open any more: it is for the request that has waited longest.
@@ -385,11 +385,11 @@
         Only an answer makes it one: a connection that was given up on may be that of a machine that is cut
         off, and there only a new one, which does not come up, proves that the request never ran.
         """
-        link.promised = False
-        for wanted in self._wanted.get(member, ()):
-            if wanted.link is None and self._fits(link, wanted.name) and self._rests(link):
-                wanted.link, link.promised = link, True
-                wanted.scope.cancel()
+        link.reserved = False
+        for waiter in self._waiters.get(member, ()):
+            if waiter.link is None and self._fits(link, waiter.name) and self._rests(link):
+                waiter.link, link.reserved = link, True
+                waiter.scope.cancel()
                 return
 
     async def _connect(self, where: Address) -> socket.socket:
@@ -427,7 +427,7 @@
 
         Guards it against what was left over: bytes that are nobody's may be half of a line without end.
         """
-        full = len(link.open) >= self._config.streams or link.promised or name in link.names
+        full = len(link.open) >= self._config.streams or link.reserved or name in link.names
         left_over = link.reading and not link.open
         return not (full or left_over or link.closed or link.retired or link.ending or link.outbox.ended)
 
@@ -447,7 +447,7 @@
             link
             for links in self._links.values()
             for link in links
-            if not (link.open or link.promised or link.lingering.cancel_called)
+            if not (link.open or link.reserved or link.lingering.cancel_called)
         ]
         if idle:
             first = min(idle, key=lambda link: link.used_at)
