Close a busy connection of a front that ends in the moment in which it is drained

Likely cause, by reading: net/clients.py, after SIGTERM connections were looked at each 5 ms from outside; with the loop late a client that comes again as soon as it is refused always has its next request there, so it stays until SIGKILL with what it has sent. Now its reader looks as soon as it has taken all there was: that is the moment in which nothing is open or unread. Test with the look from outside made too late, seen to fail without.

--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -319,6 +319,36 @@
             assert KEY.encode() in await some(newest) and looks[0] < 20
 
 
+async def test_a_client_that_comes_again_as_soon_as_it_is_refused_is_closed_in_time(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    # the look from outside always comes too late: the next request is there already
+    monkeypatch.setattr("zincladder.net.clients.STAY", 0.01)
+    monkeypatch.setattr("zincladder.net.clients.RETIRING", 60.0)
+    empty, asked, cores = Clients._empty, [1], cores_of(monkeypatch)
+
+    async def crossing(self: Clients, until: float) -> None:
+        asked.append(2)
+        sock.sendall(request(2))
+        await empty(self, until)
+
+    monkeypatch.setattr(Clients, "_empty", crossing)
+    async with world(serve) as w:
+        with plain(w) as sock:
+            sock.sendall(request(1))
+            assert KEY.encode() in await some(sock)
+            w.stopping.set()
+            while len(asked) < 2:
+                await anyio.sleep(0.001)
+            answers = 0
+            while await some(sock):  # and it comes again with each refusal, until its connection ends
+                answers += 1
+                asked.append(len(asked) + 1)
+                sock.sendall(request(asked[-1]))
+        assert len(asked) - 2 <= answers <= len(asked) - 1  # at most one crossed the end
+        assert cores[0].counts["client_ends", "idle"] == 1 and len(w.caches[0].fetches) == 1
+
+
 def test_a_seat_that_stays_is_not_waited_for() -> None:
     # else the listener would wait for ever for the descriptor of one that was not closed
     admission = Plain(Bounds(8, 8), Ledger(10, PLAIN, own=0))
@@ -483,9 +513,7 @@
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 2048)
             sock.connect(w.listening.clients)
             sock.setblocking(False)
-            sock.sendall(
-                b"".join(request(n) for n in range(1, 21))
-            )  # 4 MB of answers
+            sock.sendall(b"".join(request(n) for n in range(1, 21)))  # 4 MB of answers
             while cores[0].counts["answers", "served"] < 20:
                 await anyio.sleep(0.001)
             w.stopping.set()
--- a/zincladder/net/clients.py
+++ b/zincladder/net/clients.py
@@ -319,6 +319,10 @@
             turn += 1
             if turn % TURN == 0:
                 await anyio.lowlevel.checkpoint()
+            if self._accepting.cancel_called and self._retire(client):
+                # Guards a client that comes again as soon as it is refused: when the loop is late, the next
+                # look from outside would always find its next request.
+                return
             await inbox.some()
             now = monotonic()
             if not self._admission.may_read(client.seat, now):
