--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -116,19 +116,6 @@
     await tells(self, stream, 4)
 
 
-async def leaves_one_out(self: Scripted, stream: Stream, last: int) -> None:
-    await _happens(self, stream, last)
-    await stream.send(purge(4))
-    await anyio.sleep_forever()
-
-
-async def keeps_them_back(self: Scripted, stream: Stream, last: int) -> None:
-    await _happens(self, stream, last)
-    while True:
-        await stream.send(frame(self.newest))
-        await anyio.sleep(0.02)
-
-
 async def not_a_frame(self: Scripted, stream: Stream, last: int) -> None:
     await _happens(self, stream, last)
     await stream.send(frame(3, 2, bytes(5)))
@@ -193,21 +180,6 @@
         assert told == [2, 3, 4] and coordinator.asked == [1]
 
 
-async def test_a_coordinator_that_has_lost_an_event_is_asked_for_it_once_and_then_followed() -> None:
-    async def has_none(self: Scripted, stream: Stream, last: int) -> None:
-        if last < 5:
-            await stream.send(purge(5))
-        await tells(self, stream, 5)
-
-    coordinator = Scripted([has_none], newest=5)
-    async with watch(coordinator) as (feed, told):
-        await until(lambda: feed.last == 5)
-        assert told == [5] and coordinator.asked == [1, 1]
-        coordinator.newest = 6  # it says that there is one, and never tells it
-        await until(lambda: len(coordinator.asked) == 3)
-        await until(lambda: feed.connected)
-
-
 async def test_another_coordinator_is_followed_at_once_while_the_old_one_is_silent() -> None:
     old, new = Scripted([silent]), Scripted([tells], newest=4)
     async with watch(old) as (feed, told), anyio.create_task_group() as tasks:
--- a/zincladder/net/feed.py
+++ b/zincladder/net/feed.py
@@ -122,7 +122,6 @@
         self.connected = self.heard = False  # followed now; and at least once
         self._turn = anyio.CancelScope()
         self._pause = RETRY[0]
-        self._missed = 0  # the number that told of events which did not come
         self._warn = Sparing()
 
     def follow(self, coordinator: Address) -> None:
@@ -163,20 +162,9 @@
                         raise Ended(How.GARBLED, f"a frame of {length} bytes")
                     payload = await inbox.exactly(length - (HEAD.size - 4))
                 self.connected = self.heard = True
-                self._count(kind, number)
                 news = read_frame(kind, number, payload)
                 if news is not None and number > self.last:
                     self._tell(news)
                     self.last = number
         finally:
             sock.close()
-
-    def _count(self, kind: int, number: int) -> None:
-        """Guards drains and purges: a watch that goes on without one of its events is as bad as a silent one.
-
-        Events are numbered without a gap, and an empty frame bears the newest one's number. What is missing
-        is asked for once: a coordinator that does not have it any more would be asked for ever.
-        """
-        if number > self.last + (kind != NOTHING) and number != self._missed:
-            self._missed = number
-            raise Ended(How.CUT, f"events after {self.last} did not come")
