--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -167,8 +167,7 @@
     async with watch(coordinator) as (feed, told):
         await until(lambda: told[-1:] == [4])
         assert told == [2, 3, 4] and coordinator.asked == [1] + [2] * times
-        coordinator.acts[-1] = fault  # again after the return
-        await until(lambda: feed.connected)
+        await until(lambda: feed.connected and feed.last == 4)
 
 
 async def test_events_that_come_twice_are_told_once() -> None:
