Bound what routers add to an overload: retry budget, throttle of fills, no hopeless attempts

Change: zincladder/overload.py, without I/O: retries after refusals and time-outs are a fifth of good answers; a strained fill (refused, failed, late) cuts the share of attempts that may make a parent ask the origin, the others take what is held on the way; a request whose client leaves before its bytes could be sent is refused at once. The budgets for cold members and for the origin moved there too. DNS names are not judged by the query's own short time. tests/test_limits.py holds the new module to the same imports as decide.py.

--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -27,11 +27,12 @@
     return found
 
 
-def test_the_module_imports_the_standard_library_and_the_interface_only() -> None:
-    ours = {n for n in imported("decide.py") if n.split(".")[0] not in sys.stdlib_module_names}
-    assert ours == {"zincladder.interface"}
-    inputs = {"time", "os", "io", "socket", "sys", "datetime", "threading", "asyncio", "pathlib"}
-    assert not inputs & imported("decide.py")
+def test_the_module_and_its_limits_import_the_standard_library_and_the_interface_only() -> None:
+    inputs = {"time", "os", "io", "socket", "sys", "datetime", "threading", "asyncio", "pathlib", "random"}
+    for name, theirs in (("decide.py", {"zincladder.overload"}), ("overload.py", set())):
+        ours = {n for n in imported(name) if n.split(".")[0] not in sys.stdlib_module_names}
+        assert ours == {"zincladder.interface"} | theirs
+        assert not (inputs - ({"random"} if theirs else set())) & imported(name)
 
 
 def test_the_interface_holds_no_logic() -> None:
@@ -48,7 +49,7 @@
 
 
 def test_the_decisions_and_the_adapter_need_the_standard_library_only() -> None:
-    for name in ("decide.py", "interface.py", "wire.py", "drill.py", "config/__init__.py"):
+    for name in ("decide.py", "overload.py", "interface.py", "wire.py", "drill.py", "config/__init__.py"):
         roots = {n.split(".")[0] for n in imported(name)}
         assert roots <= set(sys.stdlib_module_names) | {"zincladder"}
 
--- a/zincladder/core/engine.py
+++ b/zincladder/core/engine.py
@@ -267,7 +267,10 @@
             return None
         number = self._number()
         chosen: api.MemberId | None = None
-        for action in self._handle(self._request(number, ask)):
+        request = self._request(number, ask)
+        # `ask.due` ends the wait for the name of the member. What follows has the class's own time.
+        request.due = self.clock.now() + self.classes.rules[ask.klass].deadline
+        for action in self._handle(request):
             if isinstance(action, api.Get | api.Look) and chosen is None:
                 chosen = action.member
                 unsent = api.AttemptEnded(number, 0, action.member, api.Result.UNSENT, 0.0, True)
--- a/zincladder/decide.py
+++ b/zincladder/decide.py
@@ -14,6 +14,7 @@
 from statistics import median_low
 
 from zincladder import interface as api
+from zincladder import overload
 
 POINTS = 16  # virtual nodes for each transfer that a member's link fits: shares follow links within a tenth
 POINTS_EVEN = 128  # where no weights are listed; the paper's 4 leave some members twice the share of others
@@ -29,7 +30,6 @@
 TRIES = 4  # attempts of one request: enough for a few dead members, too few to feed an overload
 ERRORS = 2  # after so many a request cannot be used anywhere: members' own errors are rare
 KEEP = 1  # the one rank of all kept copies: with a single rank every cache is a plain LRU
-COLD_SHARE = 0.5  # of what pushes a cold member over: half is left to routers that are not told yet
 MEMORY = 0.3  # weight of the newest outcome in a member's failing share
 DOUBT = 0.1  # by which one member's failing share passes another's to tell which of both it was
 OFF_AT = 0.6  # failing share that takes a member off: three silences in a row, or most of many
@@ -38,8 +38,6 @@
 PATIENCE = 1.5  # of a class's base aim: a cache that says nothing at all for longer is silent
 STRETCH = 3.0  # times the sending time on top: answers share links, and fills come before them
 YOUNGEST = 1e-3  # the wire reads an age of 0 as the default, so the least age is a millisecond
-ORIGIN_PART = 0.1  # of a router's requests that may fill from the origin where no parent is fit
-ORIGIN_MOST = 3.0  # of these at once
 NEAR_LEAST = 0.1  # of what a neighbour may hold, asked of it even where it held nothing lately
 RECENT = 0.02  # weight of the newest request in running means of sending times
 PROBE_EVERY = 0.5  # seconds between probes where load is told by probes only
@@ -89,8 +87,7 @@
     off: bool = False
     prompt: bool = False  # its last failure came at once: where nothing else is left, some of its fills come
     trial_at: float = 0.0
-    debt: float | None = None  # while it is cold: work sent to it that this router's part has not made up for
-    debt_at: float = 0.0
+    cold: overload.ColdBudget | None = None  # while it warms up
 
 
 @dataclass(slots=True)
@@ -122,6 +119,8 @@
     may_have_run: list[float] = field(default_factory=list)  # when those attempts were sent
     spoilt: api.MemberIds = field(default_factory=set)  # whose answer was cut off once
     errors: int = 0
+    last: api.Result | None = None  # how its newest attempt ended
+    held_only: bool = False  # the newest attempt takes only what is held: the origin is spared
 
 
 class Router:
@@ -130,6 +129,7 @@
     def __init__(self, settings: api.Settings, seed: int) -> None:
         self._retune(api.NewSettings(settings, (-1,) * len(settings.classes)))
         self.random = Random(seed)
+        self.retries = overload.RetryBudget()
         self.seen: dict[api.MemberId, Seen] = {}
         self.caches, self.parents = Ring({}), Ring({})
         self.origin: api.MemberId | None = None
@@ -140,7 +140,7 @@
         self.purges: dict[tuple[int | None, int], float] = {}
         self.out_there, self.weight_there = 0, 1.0  # attempts out at the location's caches; their weights
         self.cores = 1.0  # transfers that one cache sends at full pace: judged where weights are not listed
-        self.spare = ORIGIN_MOST  # fills from the origin that are left to this router
+        self.spare = overload.OriginBudget()  # fills from the origin beside parents of which none is fit
         self.near = 1.0  # share of what was asked of a neighbour that it held, lately
         self.reports, self.probing = 0, False  # of caches, that told of their cores; the round of probes
         self.usual, self.link = 1.0, 0.0  # the median pace of the caches' hits; how full their link in is
@@ -179,6 +179,7 @@
         # Sending times by class. Where sizes are not told, the base aim stands until hits have been timed.
         self.mean_work: list[float] = [self.mean_work[i] if i >= 0 else 0.0 for i in event.learned]
         self.timed: list[int] = [self.timed[i] if i >= 0 else 0 for i in event.learned]
+        self.throttle = overload.FillThrottle(max((klass.deadline for klass in s.classes), default=0.0))
         self.zone_routers = max(1, *s.routers_by_zone[s.zone : s.zone + 1], 1)
 
     # The list ---------------------------------------------------------------------------------
@@ -221,24 +222,15 @@
     # Choosing ---------------------------------------------------------------------------------
 
     def _room(self, seen: Seen, work: float, now: float) -> bool:
-        """Guards rule 4: whether a member that started lately can take this work from this router.
-
-        Each router works a debt off at its even part of the pace, at the least ramp. The first is a random
-        part of a request: many routers, each with a part below a request, take turns from the start.
-        """
+        """Guards rule 4: whether a member that started lately can take this work from this router."""
         m, s = seen.member, self.settings
         kin = (s.cold_parent, s.routers) if m.kind == s.parent_kind else (s.cold_cache, self.zone_routers)
-        rule, sharers = kin
         age = now - m.started_at
-        if m.started_at <= 0 or age >= rule.warm_after or m.kind == s.origin_kind:
+        if m.started_at <= 0 or age >= kin[0].warm_after or m.kind == s.origin_kind:
             return True
-        part = rule.starts_at + (1 - rule.starts_at) * max(0.0, age) / rule.warm_after
-        pace = COLD_SHARE * rule.fall_multiple * part * self._weight(m)
-        if seen.debt is None:
-            seen.debt, seen.debt_at = self.random.random() * max(self.mean_work), now
-        seen.debt = max(0.0, seen.debt - (now - seen.debt_at) * pace / sharers)
-        seen.debt_at = now
-        return seen.debt <= 0 and work <= COLD_SHARE * pace * rule.fall_after  # more is a risk by itself
+        if seen.cold is None:
+            seen.cold = overload.ColdBudget(self.random.random() * max(self.mean_work), now)
+        return seen.cold.room(kin[0], kin[1], self._weight(m), work, age, now)
 
     def _weight(self, member: api.Member) -> float:
         """The transfers that a member's link fits, as listed or judged from what warm caches report."""
@@ -251,10 +243,7 @@
         return max(1.0, PARENT_PART * self.cores * behind)
 
     def _pick(self, ring: Ring, job: Job, work: float, now: float) -> Seen | None:
-        """The first member on the object's walk that may be asked; a trial is taken where one is due.
-
-        Guards a cache's link against a hot object or too many objects: past SPILL the walk goes on.
-        """
+        """The first member on the object's walk that may be asked; a trial is taken where one is due."""
         spare, last, least = None, None, 0.0
         bound = max(SPILL, UNEVEN * self._mean_crowd())
         for i in ring.walk(job.home if ring is self.caches else job.origin):
@@ -265,7 +254,7 @@
             if lost or not self._room(seen, work, now):
                 continue
             if away or i in job.tried:
-                last = last or (seen if seen.prompt and (self.spare < 1 or not self.origin) else None)
+                last = last or (seen if seen.prompt and not (self.spare.left() and self.origin) else None)
             elif crowd < bound:
                 seen.trial_at = now + TRIAL
                 return seen
@@ -274,11 +263,7 @@
         return spare or last
 
     def _neighbour(self, cache: Seen, home: int, now: float) -> Seen | None:
-        """The cache of the location that is likely to hold the object where the chosen one is not.
-
-        Guards the location's link after a spill (the object's own cache holds it) and after a return (the
-        next point stood in). If the neighbour lacks it, the next attempt fills from the parent.
-        """
+        """The cache that likely holds the object where the chosen one does not: after a spill or a return."""
         if self.settings.peer_fill is api.PeerFill.OFF or self.random.random() > self.near:
             return None
         walk = self.caches.walk(home)
@@ -292,13 +277,10 @@
         return first if fit and self._room(first, 0.0, now) else None
 
     def _crowd(self, seen: Seen) -> float:
-        """The part of a cache's link in use; other routers count as this one's mean over the caches.
-
-        Its own attempts times the routers would move objects by chance wherever each sees little.
-        """
+        """The part of a cache's link in use; other routers count as this one's mean over the caches."""
         if seen.member.id not in self.caches.ids or not self._sized():
             return 0.0
-        own = seen.out / max(self._weight(seen.member), 1.0)
+        own = seen.out / max(self._weight(seen.member), 1.0)  # times the routers it would be chance
         return own + self._mean_crowd() * (self.zone_routers - 1) / self.zone_routers
 
     def _sized(self) -> bool:
@@ -308,9 +290,8 @@
     def _mean_crowd(self) -> float:
         if not self._sized():
             return 0.0  # a router that has just started would refuse what a lost cache leaves over
-        judged = self.cores * max(1, len(self.caches.ids))
-        there = self.weight_there if self.settings.weights_listed else judged
-        return self.out_there * self.zone_routers / there
+        listed, judged = self.settings.weights_listed, self.cores * max(1, len(self.caches.ids))
+        return self.out_there * self.zone_routers / (self.weight_there if listed else judged)
 
     def _count(self, seen: Seen, change: int) -> None:
         seen.out += change
@@ -334,7 +315,7 @@
 
     def _arrived(self, request: api.Request, now: float) -> None:
         klass, pace = self.settings.classes[request.klass], self.settings.client_kb_per_s
-        self.spare = min(ORIGIN_MOST, self.spare + ORIGIN_PART)
+        self.spare.earn()
         mean = self.mean_work[request.klass]
         if request.size_kb > 0 and pace > 0:
             work = request.size_kb / pace
@@ -344,6 +325,8 @@
         name = request.object.to_bytes(8, "big")
         home = point(name + request.part.to_bytes(4, "big")) if request.part else point(name)
         self.jobs[request.id] = Job(request, klass, work, home, point(name), self.settings.max_attempts)
+        if not klass.never_kept and overload.hopeless(request.due - now, work, klass.deadline):
+            return self._give_up(self.jobs[request.id])
         self._place(self.jobs[request.id], now)
 
     def _place(self, job: Job, now: float) -> None:
@@ -354,7 +337,7 @@
         origin = self.seen.get(self.origin) if self.origin else None
         cache = self._pick(self.caches, job, self.mean_work[request.klass], now)
         # Guards the origin, which alone runs writes: where parents fail, all routers would fall back on it.
-        spare = origin if self.spare >= 1 or not self.parents.ids else None
+        spare = origin if self.spare.left() or not self.parents.ids else None
         source = origin if job.klass.never_kept else self._pick(self.parents, job, job.work, now) or spare
         pace = source.slow if source and request.size_kb > 0 else 0.0  # untold, it tells of sizes alone
         late = self._late(job, max(self.link / LINK_FULL, pace))
@@ -373,13 +356,17 @@
             cache, source = source, source and (origin or source)  # no cache is fit: straight to the source
         if cache is None or source is None or not self._allowed(job, now):
             return self._give_up(job)
+        past = source is origin and self.parents.ids and cache.member.kind != s.parent_kind
+        bounded = past or source.member.id in self.caches.ids  # by its own budget, or as nothing is filled
+        if not (bounded or self.retries.spend(job.last)):
+            return self._give_up(job)
+        withheld = not job.klass.never_kept and self.random.random() > self.throttle.admitted(now)
+        job.held_only = withheld and not bounded
+        source = cache if job.held_only and source is origin else source
         self._send(job, cache, source, now)
 
     def _late(self, job: Job, strain: float) -> bool:
-        """Whether a request is refused, as what it needs is strained: 1 is sending at full pace.
-
-        Guards a link, whatever fills it: copies, purges, a cold member, a crowd. The largest go first.
-        """
+        """Whether a request is refused, as what it needs is strained (1: full pace); large ones go first."""
         return (strain - 1) * job.work > PROMPT * job.klass.aim
 
     def _send(self, job: Job, target: Seen, source: Seen, now: float) -> None:
@@ -387,18 +374,20 @@
         job.out.add(job.sends)
         self.attempts[request.id, job.sends] = Attempt(job, member.id, source.member.id, now, now)
         self._count(target, 1)
-        past = source.member.id == self.origin and member.kind != s.parent_kind
-        self.spare -= past and not job.klass.never_kept
+        if source.member.id == self.origin and member.kind != s.parent_kind and not job.klass.never_kept:
+            self.spare.spend()
         for seen in (target,) if target is source else (target, source):
             weight = job.work if seen.member.kind == s.parent_kind else self.mean_work[request.klass]
-            seen.debt = None if seen.debt is None else seen.debt + weight
+            if seen.cold:
+                seen.cold.debt += weight
         if member.kind == s.origin_kind:
             self.out.append(api.Look(request.id, member.id))
         else:
             keep = 0 if member.kind == s.parent_kind or job.klass.never_kept else KEEP
             join = s.joins_fills and not job.tried & self.parents.ids  # else it may join a fill that hangs
             age = self._max_age(job, now)
-            self.out.append(api.Get(request.id, member.id, source.member.id, keep, age, join))
+            held = job.held_only and source.member.kind == s.parent_kind and source is not target
+            self.out.append(api.Get(request.id, member.id, source.member.id, keep, age, join, held))
         self._watch(job, job.sends)
         job.sends += 1
 
@@ -435,6 +424,7 @@
         if job is None or event.closed:
             return
         job.out.discard(event.attempt)
+        job.last = event.result
         if attempt:
             if event.result not in NEVER_RAN:
                 job.may_have_run.append(attempt.sent_at)
@@ -445,8 +435,9 @@
             job.spoilt |= blamed if cut else set()
             if not looked and not cut and not job.klass.never_kept:
                 job.tried |= blamed
+            lacked = job.held_only and event.result is api.Result.MISS and not job.joins
             job.errors += event.result is api.Result.ERROR and event.note not in BLAMES_SOURCE
-            if job.errors >= ERRORS:
+            if lacked or job.errors >= ERRORS:
                 return self._give_up(job)
             # Guards the origin: another parent would ask the same origin, so only a stale copy is tried.
             refused = event.result is api.Result.REFUSED
@@ -491,6 +482,10 @@
         cache, source = self.seen.get(attempt.cache), self.seen.get(attempt.source)
         self._report(attempt.cache, event.report)
         beside = attempt.source in self.caches.ids and attempt.source != attempt.cache
+        self.retries.ended(event.result)
+        filled = (attempt.source != attempt.cache or attempt.cache == self.origin) and not beside
+        if filled and overload.fill_is_strained(event, job.klass, job.work, blamed <= self.caches.ids):
+            self.throttle.strained(now)  # guards the origin and the parents, which all routers share
         if beside and event.result in (api.Result.OK, api.Result.MISS):  # no other end tells what it holds
             self.near += MEMORY * (max(NEAR_LEAST, event.result is api.Result.OK) - self.near)
         if cache and cache.out:  # a member that was gone for a while starts from none
@@ -536,10 +531,7 @@
                 seen.off, seen.trial_at = True, now + TRIAL
 
     def _timer(self, token: int, now: float) -> None:
-        """Guards against silence: an attempt past its patience at a cache that said nothing meanwhile.
-
-        Not so for sources: with few fills at each router a slow link or origin looks like a silent parent.
-        """
+        """Guards against silence: an attempt past its patience at a cache that said nothing meanwhile."""
         what = self.timers.pop(token, (-1, -1))
         if what == PROBING:
             return self._probe()
@@ -547,7 +539,8 @@
         if job is None or attempt is None:
             return
         cache = self.seen.get(attempt.cache)
-        if not self.settings.may_cancel or cache is None or cache.heard_at > attempt.checked_at:
+        slow = self.throttle.is_strained(now) or not self.retries.left()  # else slow fills look like silence
+        if not self.settings.may_cancel or cache is None or slow or cache.heard_at > attempt.checked_at:
             attempt.checked_at = now
             return self._watch(job, what[1])
         self._mark(cache, True, now)
--- /dev/null
+++ b/zincladder/overload.py
@@ -0,0 +1,152 @@
+"""What keeps a router from feeding an overload: budgets of attempts and a throttle of fills. No I/O.
+
+A failure that is answered by more attempts makes the overload that it came from last: the trigger ends and
+the state stays (metastable failures, Bronson et al. 2021). Routers share nothing, so each limits itself by
+what its own attempts met; as all meet the same parents and the same origin, their limits move together.
+"""
+
+from __future__ import annotations
+
+from math import exp
+
+from zincladder import interface as api
+
+RETRY_SHARE = 0.2  # retries as a share of good answers: the usual retry budget (Finagle's default)
+RETRY_RESERVE = 10.0  # retries that a router may save up: a sudden failure is worked round at once
+# Of the admitted share, taken off by each strained fill: multiplicative decrease, as in AIMD. In a large
+# fleet a router meets about one fill a second and has to answer within one or two of them.
+STRAIN_CUT = 0.75
+LEAST_ADMITTED = 0.05  # admitted even under the worst strain: what shows that the strain is over
+STRAIN_SURE = 0.5  # admitted share below which slow fills are likelier than silent caches
+ORIGIN_SHARE = 0.1  # of a router's requests that may fill from the origin where no parent is fit
+ORIGIN_RESERVE = 3.0  # of these at once
+COLD_SHARE = 0.5  # of what pushes a cold member over: half is left to routers that are not told yet
+CHARGED = (api.Result.REFUSED, api.Result.TIMED_OUT, api.Result.CANCELLED)
+SOURCE_STRAINED = (api.Note.SOURCE_REFUSED, api.Note.SOURCE_FAILED, api.Note.ORIGIN_FAILED)
+
+
+class RetryBudget:
+    """A token bucket that only good answers fill; a retry after what load may have caused takes a token."""
+
+    def __init__(self) -> None:
+        self.tokens = RETRY_RESERVE
+
+    def ended(self, result: api.Result) -> None:
+        """Counts the end of one attempt."""
+        if result is api.Result.OK:
+            self.tokens = min(RETRY_RESERVE, self.tokens + RETRY_SHARE)
+
+    def left(self) -> bool:
+        """Whether one more retry may be made."""
+        return self.tokens >= 1
+
+    def spend(self, last: api.Result | None) -> bool:
+        """Whether a request whose last attempt ended so may have another; `None`: it had none yet.
+
+        What a member lacked, lost connections and errors tell of no load and are not charged.
+        """
+        if last not in CHARGED:
+            return True
+        if not self.left():
+            return False
+        self.tokens -= 1
+        return True
+
+
+class OriginBudget:
+    """A token bucket that requests fill: fills from the origin beside parents of which none is fit."""
+
+    def __init__(self) -> None:
+        self.tokens = ORIGIN_RESERVE
+
+    def earn(self) -> None:
+        """Counts one request that arrived."""
+        self.tokens = min(ORIGIN_RESERVE, self.tokens + ORIGIN_SHARE)
+
+    def left(self) -> bool:
+        """Whether one more fill may go to the origin."""
+        return self.tokens >= 1
+
+    def spend(self) -> None:
+        """Counts one fill from the origin, also one that was not asked for beforehand."""
+        self.tokens -= 1
+
+
+class ColdBudget:
+    """The work that one router may send to a member that started lately.
+
+    Work sent is a `debt`, in seconds of sending, that is worked off at the router's even part of the pace
+    that the member stands at the least ramp. The first debt is given: a random part of a request, so that
+    many routers, each with a part of less than a request, take turns from the start.
+    """
+
+    def __init__(self, debt: float, now: float) -> None:
+        self.debt = debt
+        self._since = now
+
+    def room(
+        self, rule: api.ColdRule, sharers: int, weight: float, work: float, age: float, now: float
+    ) -> bool:
+        """Whether a request of `work` seconds may go to a member of this age.
+
+        `weight` is the number of transfers that the member's link fits, `sharers` that of the routers that
+        may send to it.
+        """
+        part = rule.starts_at + (1 - rule.starts_at) * max(0.0, age) / rule.warm_after
+        pace = COLD_SHARE * rule.fall_multiple * part * weight
+        self.debt = max(0.0, self.debt - (now - self._since) * pace / sharers)
+        self._since = now
+        return self.debt <= 0 and work <= COLD_SHARE * pace * rule.fall_after  # more is a risk by itself
+
+
+class FillThrottle:
+    """The share of attempts that may make a parent ask the origin; the others take what is held on the way.
+
+    Each strained fill cuts the share. It returns towards 1 with the time constant `recovery`, in seconds: the
+    longest time for which clients come again with what was turned away, else the next try meets that wave.
+    """
+
+    def __init__(self, recovery: float) -> None:
+        self.recovery = recovery
+        self._withheld = 0.0
+        self._since = 0.0
+
+    def strained(self, now: float) -> None:
+        """Counts a fill that was refused, failed or late."""
+        admitted = self.admitted(now) * (1 - STRAIN_CUT)
+        self._withheld, self._since = 1 - max(LEAST_ADMITTED, admitted), now
+
+    def is_strained(self, now: float) -> bool:
+        """Whether fills are slow for sure: then a cache that says nothing may wait for one."""
+        return self.admitted(now) < STRAIN_SURE
+
+    def admitted(self, now: float) -> float:
+        """The share that is admitted at this time, from `LEAST_ADMITTED` to 1."""
+        return 1 - self._withheld * exp((self._since - now) / max(self.recovery, 1e-3))
+
+
+def fill_is_strained(event: api.AttemptEnded, klass: api.RequestClass, work: float, own_fault: bool) -> bool:
+    """Whether the end of an attempt that may have been filled tells of a strain of its source.
+
+    `work` is the request's sending time in seconds; `own_fault` says that a refusal was the cache's own, not
+    its source's. An end after the time in which an answer earns its full worth is a strain, if no copy was
+    held.
+    """
+    if event.note in SOURCE_STRAINED:
+        return True
+    if event.result is api.Result.REFUSED:
+        return not own_fault
+    if event.note is api.Note.HIT:
+        return False
+    late = event.latency > klass.aim + klass.aim_stretch * work
+    ended = event.result in (api.Result.OK, api.Result.TIMED_OUT, api.Result.CANCELLED)
+    return late and ended
+
+
+def hopeless(left: float, work: float, deadline: float) -> bool:
+    """Whether a client gives up before its answer can be whole, even if the first cache holds it.
+
+    `left` is the time until then and `work` the sending time, both in seconds. A request that has half of its
+    class's deadline left is never hopeless: where sizes are not told, `work` is a mean that load moves.
+    """
+    return left < min(work, deadline / 2)
