Let many strained fills tell by their share and few by their number

Each strained fill cut what may ask the origin, and only time gave it back: a front of three meets some fifty fills a second, of which a few are always late. Change: the throttle counts fills and strained fills, both fading with the longest deadline. A fifth strained is borne, three fifths close it; under one fill's worth the number counts. Attempts that were throttled count when they are strained, not when they go well.

--- a/zincladder/decide.py
+++ b/zincladder/decide.py
@@ -483,9 +483,10 @@
         self._report(attempt.cache, event.report)
         beside = attempt.source in self.caches.ids and attempt.source != attempt.cache
         self.retries.ended(event.result)
-        filled = (attempt.source != attempt.cache or attempt.cache == self.origin) and not beside
-        if filled and overload.fill_is_strained(event, job.klass, job.work, blamed <= self.caches.ids):
-            self.throttle.strained(now)  # guards the origin and the parents, which all routers share
+        strained = overload.fill_strained(event, job.klass, job.work, blamed <= self.caches.ids)
+        filled = attempt.source != attempt.cache or attempt.cache == self.origin
+        if filled and not beside and (strained or (strained is False and not job.held_only)):
+            self.throttle.ended(strained, now)  # guards the origin and the parents, which all routers share
         if beside and event.result in (api.Result.OK, api.Result.MISS):  # no other end tells what it holds
             self.near += MEMORY * (max(NEAR_LEAST, event.result is api.Result.OK) - self.near)
         if cache and cache.out:  # a member that was gone for a while starts from none
--- a/zincladder/overload.py
+++ b/zincladder/overload.py
@@ -13,9 +13,8 @@
 
 RETRY_SHARE = 0.2  # retries as a share of good answers: the usual retry budget (Finagle's default)
 RETRY_RESERVE = 10.0  # retries that a router may save up: a sudden failure is worked round at once
-# Of the admitted share, taken off by each strained fill: multiplicative decrease, as in AIMD. In a large
-# fleet a router meets about one fill a second and has to answer within one or two of them.
-STRAIN_CUT = 0.75
+STRAIN_BORNE = 0.2  # strained share that is nothing: some fills are late on any day
+STRAIN_FULL = 0.6  # strained share from which on the least is admitted
 LEAST_ADMITTED = 0.05  # admitted even under the worst strain: what shows that the strain is over
 STRAIN_SURE = 0.5  # admitted share below which slow fills are likelier than silent caches
 ORIGIN_SHARE = 0.1  # of a router's requests that may fill from the origin where no parent is fit
@@ -102,45 +101,55 @@
 class FillThrottle:
     """The share of attempts that may make a parent ask the origin; the others take what is held on the way.
 
-    Each strained fill cuts the share. It returns towards 1 with the time constant `recovery`, in seconds: the
-    longest time for which clients come again with what was turned away, else the next try meets that wave.
+    Many fills are judged by their strained share, few by their number: a router of three meets fifty a
+    second, one of a large fleet a single one, which has to tell. What was counted fades with the time
+    constant `recovery`, in seconds: the longest time for which clients come again with what was turned away.
     """
 
     def __init__(self, recovery: float) -> None:
         self.recovery = recovery
-        self._withheld = 0.0
+        self._fills = 0.0  # lately, each fading with `recovery`
+        self._strained = 0.0  # of these
         self._since = 0.0
 
-    def strained(self, now: float) -> None:
-        """Counts a fill that was refused, failed or late."""
-        admitted = self.admitted(now) * (1 - STRAIN_CUT)
-        self._withheld, self._since = 1 - max(LEAST_ADMITTED, admitted), now
+    def ended(self, strained: bool, now: float) -> None:
+        """Counts a fill: refused, failed or late, or good."""
+        fade = self._fade(now)
+        self._fills, self._strained = self._fills * fade + 1, self._strained * fade + strained
+        self._since = now
+
+    def admitted(self, now: float) -> float:
+        """The share that is admitted at this time, from `LEAST_ADMITTED` to 1."""
+        fade = self._fade(now)
+        over = (self._strained - STRAIN_BORNE * self._fills) * fade
+        withheld = over / max(1.0, (STRAIN_FULL - STRAIN_BORNE) * self._fills * fade)
+        return min(1.0, max(LEAST_ADMITTED, 1 - withheld))
 
     def is_strained(self, now: float) -> bool:
         """Whether fills are slow for sure: then a cache that says nothing may wait for one."""
         return self.admitted(now) < STRAIN_SURE
 
-    def admitted(self, now: float) -> float:
-        """The share that is admitted at this time, from `LEAST_ADMITTED` to 1."""
-        return 1 - self._withheld * exp((self._since - now) / max(self.recovery, 1e-3))
+    def _fade(self, now: float) -> float:
+        return exp((self._since - now) / max(self.recovery, 1e-3))
 
 
-def fill_is_strained(event: api.AttemptEnded, klass: api.RequestClass, work: float, own_fault: bool) -> bool:
-    """Whether the end of an attempt that may have been filled tells of a strain of its source.
+def fill_strained(
+    event: api.AttemptEnded, klass: api.RequestClass, work: float, own_fault: bool
+) -> bool | None:
+    """Whether an attempt's end tells of a strain of its source; `None` where it tells nothing of a fill.
 
     `work` is the request's sending time in seconds; `own_fault` says that a refusal was the cache's own, not
-    its source's. An end after the time in which an answer earns its full worth is a strain, if no copy was
-    held.
+    its source's. What was not held and ends after the time for an answer's full worth is strained.
     """
     if event.note in SOURCE_STRAINED:
         return True
     if event.result is api.Result.REFUSED:
-        return not own_fault
+        return None if own_fault else True
     if event.note is api.Note.HIT:
-        return False
-    late = event.latency > klass.aim + klass.aim_stretch * work
-    ended = event.result in (api.Result.OK, api.Result.TIMED_OUT, api.Result.CANCELLED)
-    return late and ended
+        return None
+    if event.latency > klass.aim + klass.aim_stretch * work:
+        return True if event.result in (api.Result.OK, api.Result.TIMED_OUT, api.Result.CANCELLED) else None
+    return False if event.result is api.Result.OK else None
 
 
 def hopeless(left: float, work: float, deadline: float) -> bool:
