--- a/zincladder/overload.py
+++ b/zincladder/overload.py
@@ -13,8 +13,11 @@
 
 RETRY_SHARE = 0.2  # retries as a share of good answers: the usual retry budget (Finagle's default)
 RETRY_RESERVE = 10.0  # retries that a router may save up: a sudden failure is worked round at once
-STRAIN_BORNE = 0.2  # strained share that is nothing: some fills are late on any day
-STRAIN_FULL = 0.6  # strained share from which on the least is admitted
+# Of the admitted share, taken off by each strained fill: multiplicative decrease, as in AIMD. In a large
+# fleet a router meets about one fill a second and has to answer within one or two of them.
+STRAIN_CUT = 0.75
+STRAIN_BORNE = 0.2  # strained share of many fills that is nothing: some are late on any day
+MANY_FILLS = 20.0  # from which on the share is known to a tenth: the root of 0.2 x 0.8 / 20
 LEAST_ADMITTED = 0.05  # admitted even under the worst strain: what shows that the strain is over
 STRAIN_SURE = 0.5  # admitted share below which slow fills are likelier than silent caches
 ORIGIN_SHARE = 0.1  # of a router's requests that may fill from the origin where no parent is fit
@@ -101,29 +104,32 @@
 class FillThrottle:
     """The share of attempts that may make a parent ask the origin; the others take what is held on the way.
 
-    Many fills are judged by their strained share, few by their number: a router of three meets fifty a
-    second, one of a large fleet a single one, which has to tell. What was counted fades with the time
-    constant `recovery`, in seconds: the longest time for which clients come again with what was turned away.
+    Each strained fill cuts the share, but where there are many fills only while more of them are strained
+    than on any day: a router of three meets fifty a second, one of a large fleet one, which has to tell.
+    Both the cut and the counts fade with the time constant `recovery`, in seconds: the longest time for which
+    clients come again with what was turned away.
     """
 
     def __init__(self, recovery: float) -> None:
         self.recovery = recovery
-        self._fills = 0.0  # lately, each fading with `recovery`
-        self._strained = 0.0  # of these
+        self._withheld = 0.0
+        self._fills = 0.0
+        self._strained = 0.0  # of the fills
         self._since = 0.0
 
     def ended(self, strained: bool, now: float) -> None:
         """Counts a fill: refused, failed or late, or good."""
         fade = self._fade(now)
         self._fills, self._strained = self._fills * fade + 1, self._strained * fade + strained
-        self._since = now
+        self._withheld, self._since = self._withheld * fade, now
+        borne = self._fills >= MANY_FILLS and self._strained < STRAIN_BORNE * self._fills
+        if strained and not borne:
+            admitted = (1 - self._withheld) * (1 - STRAIN_CUT)
+            self._withheld = 1 - max(LEAST_ADMITTED, admitted)
 
     def admitted(self, now: float) -> float:
         """The share that is admitted at this time, from `LEAST_ADMITTED` to 1."""
-        fade = self._fade(now)
-        over = (self._strained - STRAIN_BORNE * self._fills) * fade
-        withheld = over / max(1.0, (STRAIN_FULL - STRAIN_BORNE) * self._fills * fade)
-        return min(1.0, max(LEAST_ADMITTED, 1 - withheld))
+        return 1 - self._withheld * self._fade(now)
 
     def is_strained(self, now: float) -> bool:
         """Whether fills are slow for sure: then a cache that says nothing may wait for one."""
