Give an attempt one guard that names why it may not begin, in place of seven lambdas

Need: Order held seven callables, made anew for each attempt, and the carrier asked three of them again to learn what the first had said. Change: core/attempt.py holds Ask, Order, and Guard, whose Hold names the reason (client left, window over, purged, member or source drains); the core is the guard. The carrier maps a Hold to an end by a table. The test of one reason became one of all five through Caches.carry; the import check names the new module of the core.

--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -14,8 +14,9 @@
 
 from tests.conftest import FLEET, cache, settings
 from zincladder import interface as api
+from zincladder.core.attempt import Ask, Hold, Order
 from zincladder.core.ends import RESULTS, End, How
-from zincladder.core.engine import READ_AGAIN, Answer, Ask, Core, Order
+from zincladder.core.engine import READ_AGAIN, Answer, Core
 from zincladder.core.figures import Figures
 from zincladder.net.stream import Ended, Inbox, Outbox
 
@@ -190,7 +191,9 @@
         lost = order.source if as_source else order.member
         (member,) = [m for m in FLEET if m.id == lost]
         c.core.listed(api.ListKind.DELTA, 2, (cache(0, id=lost, kind=member.kind, state=state),))
-        assert not order.may_go() and order.member_ready() == as_source  # and so the other is not blamed
+        assert not order.may_go()
+        blamed = Hold.SOURCE_DRAINS if as_source else Hold.MEMBER_DRAINS  # and so the other is not
+        assert order.hold() is blamed
 
 
 async def test_steering_tells_the_router_of_no_outcome() -> None:
--- a/tests/test_deployments.py
+++ b/tests/test_deployments.py
@@ -20,7 +20,7 @@
 from zincladder import interface as api
 from zincladder.__main__ import Listening, front
 from zincladder.config import Config, Operator, config_of
-from zincladder.core.engine import Ask, Order
+from zincladder.core.attempt import Ask, Order
 from zincladder.decide import Router
 from zincladder.net import protocol
 
@@ -361,7 +361,7 @@
     bare = protocol.write_fetch(Order(ask, b"s-1"), "video", 0.5)
     assert bare == f"cls=video,item={7:016x},limit=500"
     ask = Ask("a" * 16, 0, 7, 2, 3, 1.0, tag="aa", key=KEY_32)
-    order = Order(ask, b"s-1", b"s-2", 1, 0.0, True, True, True, True, age_now=lambda: 1.5)
+    order = Order(ask, b"s-1", b"s-2", 1, 1.5, True, True, True, True)
     assert protocol.write_fetch(order, "video", 0.5) == (
         f"cls=video,item={7:016x},chunk=2,limit=500,nonce={KEY_32},up=s-2,store=1,cap=1500,"
         "do=join+held+nocopy+renew,inm=aa"
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -66,6 +66,7 @@
         assert ours <= {
             "zincladder.interface",
             "zincladder.decide",
+            "zincladder.core.attempt",
             "zincladder.core.classes",
             "zincladder.core.ends",
             "zincladder.core.figures",
--- a/tests/test_member_links.py
+++ b/tests/test_member_links.py
@@ -18,10 +18,12 @@
 from tests.stands import KEY, SETTINGS, Fetch, StubCache, client, configuration, serve, world
 from tests.test_endings import cores_of
 from tests.test_front import hold
+from zincladder import interface as api
 from zincladder.admission.ledger import SHARED, Ledger, Use
 from zincladder.config import REPORTS, Config, config_of
+from zincladder.core.attempt import Ask, Hold, NoGuard, Order
 from zincladder.core.ends import End, How
-from zincladder.core.engine import Ask, Order
+from zincladder.decide import NEVER_RAN
 from zincladder.lingering import LINGER
 from zincladder.net import caches as cache_side
 from zincladder.net.caches import Caches, _Link
@@ -244,9 +246,27 @@
             assert theirs.recv(100) == b""
 
 
-def test_how_of_a_purge_proves_that_nothing_ran() -> None:
-    held = order(may_go=lambda: False, purged=lambda: True)
-    assert cache_side._held_back(held).how is How.NOT_WRITTEN
+@pytest.mark.parametrize(
+    ("hold", "how", "note"),
+    [
+        (Hold.CLIENT_LEFT, How.CALLED_OFF, api.Note.NONE),
+        (Hold.WINDOW_OVER, How.TOO_LATE, api.Note.NONE),
+        (Hold.PURGED, How.NOT_WRITTEN, api.Note.NONE),
+        (Hold.MEMBER_DRAINS, How.TURNED, api.Note.NONE),
+        (Hold.SOURCE_DRAINS, How.TURNED, api.Note.SOURCE_FAILED),
+    ],
+)
+async def test_an_attempt_that_may_not_begin_ends_as_one_that_never_ran(
+    hold: Hold, how: How, note: api.Note
+) -> None:
+    class Held(NoGuard):
+        def hold(self, order: Order) -> Hold | None:
+            return hold
+
+    caches = Caches(config_of(configuration([])), time.time, Ledger(100, SHARED), ["page"])
+    end = await caches.carry(order(guard=Held()))
+    assert (end.how, end.note, end.why) == (how, note, hold.value)
+    assert end.result in (*NEVER_RAN, api.Result.CANCELLED)
 
 
 # Connections that come up late -----------------------------------------------------------------------
--- a/zincladder/core/engine.py
+++ b/zincladder/core/engine.py
@@ -20,6 +20,7 @@
 from anyio.abc import TaskGroup
 
 from zincladder import interface as api
+from zincladder.core.attempt import Ask, Hold, Order
 from zincladder.core.classes import Classes
 from zincladder.core.ends import End, How
 from zincladder.core.figures import Figures
@@ -33,49 +34,6 @@
 log = structlog.get_logger()
 
 
-@dataclass(slots=True)
-class Ask:
-    """A request as a front hands it over; `due` is a time on the core's clock."""
-
-    trace: str
-    klass: int
-    object: int
-    part: int | None
-    group: int
-    due: float
-    repeat: bool = False
-    write: bool = False
-    tag: str = ""  # of a copy that the client holds
-    key: str = ""  # idempotency key: the same for all tries of one keyed request
-    body: bytes = b""
-    size_kb: float = 0.0
-    wanted: Callable[[], bool] = lambda: True  # whether its client still waits for it, as of that moment
-
-
-@dataclass(slots=True)
-class Order:
-    """One attempt, as the carrier is to make it."""
-
-    ask: Ask
-    member: api.MemberId
-    source: api.MemberId | None = None  # None: no fill
-    keep: int = 0
-    max_age: float = 0.0
-    join: bool = False
-    held_only: bool = False
-    parent_passes: bool = False
-    renew: bool = False
-    until: float = 0.0  # when the wait for it ends
-    begin_by: float = math.inf  # its first byte goes before this: repeats are dropped for that long only
-    written: Callable[[], None] = lambda: None  # called when its last byte has been
-    may_go: Callable[[], bool] = lambda: True  # asked again when its first byte is about to be written
-    in_time: Callable[[], bool] = lambda: True  # whether `begin_by` is still ahead
-    member_ready: Callable[[], bool] = lambda: True  # else it is the source that may not be named any more
-    age_now: Callable[[], float] = lambda: 0.0  # the oldest copy that will do, as of that moment
-    oldest: float | None = None  # the same, as its fields say it; None until they are written down
-    purged: Callable[[], bool] = lambda: False  # whether a purge since then asks for a younger copy
-
-
 class Carrier(Protocol):
     """What reaches the members."""
 
@@ -401,23 +359,12 @@
         n, life.sends = life.sends, life.sends + 1
         ask, now = life.ask, self.clock.now()
         until = min(ask.due, now + (action.time_out or math.inf))
-        order = Order(ask, action.member, until=until, begin_by=life.repeat_by)
+        order = Order(ask, action.member, until=until, begin_by=life.repeat_by, guard=self)
         if isinstance(action, api.Get):
             order.source = None if action.source == action.member else action.source
             order.keep, order.max_age, order.join = action.keep, action.max_age, action.join
             order.held_only, order.renew = action.held_only, action.renew
             order.parent_passes = action.parent_passes
-        order.written = self.figures.written
-        order.may_go = lambda: (
-            self._ready(order.member, order.source)
-            and order.in_time()
-            and not order.purged()
-            and order.ask.wanted()
-        )
-        order.in_time = lambda: self.clock.now() < order.begin_by
-        order.member_ready = lambda: self._ready(order.member)
-        order.age_now = lambda: self._age(order)
-        order.purged = lambda: order.oldest is not None and 0 < self._age(order) < (order.oldest or math.inf)
         scope = anyio.CancelScope(deadline=anyio.current_time() + max(0.0, until - now) + 1e-3)
         life.out[n] = (order, scope, now)
         self.figures.asked(action.member, now, self.classes.names[ask.klass])
@@ -428,7 +375,21 @@
         assert self._attempts is not None, "a core serves while it runs"
         self._attempts.start_soon(self._attempt, action.request, life, n, order, scope)
 
-    def _age(self, order: Order) -> float:
+    # What may change before an attempt's first byte (the attempt's guard) --------------------------
+
+    def hold(self, order: Order) -> Hold | None:
+        """Why an attempt may not begin at this moment; `None` where it may."""
+        if not order.ask.wanted():
+            return Hold.CLIENT_LEFT
+        if self.clock.now() >= order.begin_by:
+            return Hold.WINDOW_OVER
+        if order.oldest is not None and 0 < self.oldest_copy(order) < (order.oldest or math.inf):
+            return Hold.PURGED
+        if not self._ready(order.member):
+            return Hold.MEMBER_DRAINS
+        return None if self._ready(order.source) else Hold.SOURCE_DRAINS
+
+    def oldest_copy(self, order: Order) -> float:
         """Guards rule 5 against a purge that was told between the decision and the send."""
         ask = order.ask
         made = max(self.purged.get(k, 0.0) for k in ((ask.object, -1), (None, ask.group)))
@@ -437,6 +398,10 @@
             return order.max_age
         return max(1e-3, min(age, order.max_age or self.settings.classes[ask.klass].fresh_for or math.inf))
 
+    def written(self) -> None:
+        """Counts an attempt whose last byte has gone out."""
+        self.figures.written()
+
     # Timers and probes --------------------------------------------------------------------------
 
     async def run(self) -> None:
--- a/zincladder/dns/answers.py
+++ b/zincladder/dns/answers.py
@@ -18,7 +18,8 @@
 
 from zincladder import interface as api
 from zincladder.config import Address, DnsConfig
-from zincladder.core.engine import Ask, Core
+from zincladder.core.attempt import Ask
+from zincladder.core.engine import Core
 
 TTL = 0  # guards a drain: a cached answer would go on naming a cache that has been told to drain
 PLAIN_SIZE, MOST_SIZE = 512, 1232  # bytes over UDP without EDNS0, and with it at most
--- a/zincladder/net/caches.py
+++ b/zincladder/net/caches.py
@@ -17,8 +17,8 @@
 from zincladder import interface as api
 from zincladder.admission.ledger import Ledger, Use
 from zincladder.config import BODY, Address, Config
+from zincladder.core.attempt import Hold, Order
 from zincladder.core.ends import End, How
-from zincladder.core.engine import Order
 from zincladder.lingering import LINGER, lingering_close
 from zincladder.net import protocol
 from zincladder.net.stream import Ended, Entry, Inbox, Outbox, connect, left
@@ -196,16 +196,19 @@
     link: _Link | None = None
 
 
-def _held_back(order: Order) -> End:
-    """Not sent, and why: what was looked at before the first byte has changed since the decision."""
-    if not order.ask.wanted():
-        return End(How.CALLED_OFF, why="its client has left")
-    if not order.in_time():
-        return End(How.TOO_LATE, why="its repeats are no longer dropped")
-    if order.purged():
-        return End(How.NOT_WRITTEN, why="its object was purged while it waited to be written")
-    # The member, or the source of its fill, was told to drain.
-    return End(How.TURNED, note=api.Note.SOURCE_FAILED if order.member_ready() else api.Note.NONE)
+HELD_BACK = {
+    Hold.CLIENT_LEFT: How.CALLED_OFF,
+    Hold.WINDOW_OVER: How.TOO_LATE,
+    Hold.PURGED: How.NOT_WRITTEN,
+    Hold.MEMBER_DRAINS: How.TURNED,
+    Hold.SOURCE_DRAINS: How.TURNED,
+}
+
+
+def _held_back(hold: Hold) -> End:
+    """The end of an attempt that was not sent: what it was decided by has changed since."""
+    note = api.Note.SOURCE_FAILED if hold is Hold.SOURCE_DRAINS else api.Note.NONE
+    return End(HELD_BACK[hold], note=note, why=hold.value)
 
 
 class Caches:
@@ -264,8 +267,8 @@
                 link.end()
 
     async def carry(self, order: Order) -> End:
-        if not order.may_go():
-            return _held_back(order)
+        if hold := order.hold():
+            return _held_back(hold)
         try:
             link = await self._link(order.member, order.ask.trace.encode())
         except (OSError, TimeoutError) as fault:
@@ -292,10 +295,10 @@
 
         def gone(written: bool) -> None:
             if order is not None and written:
-                order.written()
+                order.guard.written()
             elif order is not None:
                 # Guards the request: it was held back at the last look, and nobody else says so.
-                waiting.finish(_held_back(order))
+                waiting.finish(_held_back(order.hold() or Hold.MEMBER_DRAINS))
 
         entry = waiting.entry = link.outbox.put(parts, order.may_go if order else None, gone)
         try:
--- a/zincladder/net/clients.py
+++ b/zincladder/net/clients.py
@@ -20,8 +20,9 @@
 from zincladder.admission.gate import Admission
 from zincladder.admission.model import Act, Decision, Seat, Why
 from zincladder.config import Config
+from zincladder.core.attempt import Ask
 from zincladder.core.ends import How
-from zincladder.core.engine import DUE_MARGIN, Answer, Ask, Core
+from zincladder.core.engine import DUE_MARGIN, Answer, Core
 from zincladder.lingering import AT_ONCE, LINGER, lingering_close
 from zincladder.net import protocol, thrift
 from zincladder.net.door import Door
--- a/zincladder/net/protocol.py
+++ b/zincladder/net/protocol.py
@@ -14,8 +14,8 @@
 
 from zincladder import interface as api
 from zincladder.config import REPORTS
+from zincladder.core.attempt import Order
 from zincladder.core.ends import How
-from zincladder.core.engine import Order
 
 ID = re.compile(r"[0-9a-f]{16}", re.ASCII)
 TOKEN = re.compile(r"[0-9A-Za-z_-]{1,64}", re.ASCII)  # a copy's tag, an idempotency key: passed on unchanged
