--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -33,12 +33,22 @@
     return found
 
 
+DECISIONS = ("decide.py", "capacity.py", "overload.py", "purges.py")
+
+
 def test_the_module_and_its_limits_import_the_standard_library_and_the_interface_only() -> None:
     inputs = {"time", "os", "io", "socket", "sys", "datetime", "threading", "asyncio", "pathlib", "random"}
-    for name, theirs in (("decide.py", {"zincladder.overload"}), ("overload.py", set())):
+    interface = {"zincladder.interface"}
+    limits = {f"zincladder.{name}" for name in ("capacity", "overload", "purges")}
+    for name, theirs in (
+        ("decide.py", interface | limits),
+        ("capacity.py", set()),
+        ("overload.py", interface),
+        ("purges.py", set()),
+    ):
         ours = {n for n in imported(name) if n.split(".")[0] not in sys.stdlib_module_names}
-        assert ours == {"zincladder.interface"} | theirs
-        assert not (inputs - ({"random"} if theirs else set())) & imported(name)
+        assert ours == theirs
+        assert not (inputs - ({"random"} if name == "decide.py" else set())) & imported(name)
 
 
 def test_the_interface_holds_no_logic() -> None:
@@ -55,7 +65,7 @@
 
 
 def test_the_decisions_and_the_adapter_need_the_standard_library_only() -> None:
-    for name in ("decide.py", "overload.py", "interface.py", "wire.py", "drill.py", "config/__init__.py"):
+    for name in (*DECISIONS, "interface.py", "wire.py", "drill.py", "config/__init__.py"):
         roots = {n.split(".")[0] for n in imported(name)}
         assert roots <= set(sys.stdlib_module_names) | {"zincladder"}
 
@@ -66,6 +76,7 @@
         assert ours <= {
             "zincladder.interface",
             "zincladder.decide",
+            "zincladder.purges",
             "zincladder.core.attempt",
             "zincladder.core.classes",
             "zincladder.core.ends",
--- a/tests/test_operating_day.py
+++ b/tests/test_operating_day.py
@@ -182,11 +182,11 @@
     d = Driver(max_attempts=4)
     for n in range(1, 20):
         d.serve(n, key=n, klass=1, kb=50.0)
-    learned = d.router.mean_work[1]
+    learned = d.router.works[1].mean
     sent = get(d.ask(100, klass=0))
     fewer = settings(max_attempts=1, classes=(*d.router.settings.classes[:3], READ, WRITE))
     d.give(api.NewSettings(fewer, (0, 1, 2, -1, -1)))
-    assert d.router.mean_work[1] == learned > 0 and d.router.mean_work[3] == 0
+    assert d.router.works[1].mean == learned > 0 and d.router.works[3].mean == 0
     again = sends(d.end(100, 0, sent.member, api.Result.UNREACHABLE))
     assert len(again) == 1  # it was taken when four were allowed
     first = get(d.ask(101, klass=0))
--- a/zincladder/core/engine.py
+++ b/zincladder/core/engine.py
@@ -25,6 +25,7 @@
 from zincladder.core.ends import End, How
 from zincladder.core.figures import Figures
 from zincladder.decide import NEVER_RAN, Router
+from zincladder.purges import Purges
 
 DUE_MARGIN = 0.02  # seconds before the client's own deadline: time to write the answer that ends it
 # Seconds between two looks at the timers, of which each request sets one. A wait of its own for each took a
@@ -98,7 +99,7 @@
         self.carrier = carrier
         self.clock = clock or Clock()
         self.members: dict[api.MemberId, api.Member] = {}
-        self.purged: dict[tuple[int | None, int], float] = {}
+        self.purges = Purges()
         self.lives: dict[int, Life] = {}
         self.counts: Counter[tuple[str, str]] = Counter()
         self.figures = Figures()
@@ -293,9 +294,7 @@
     def purge(self, obj: int | None, group: int, made: float) -> None:
         """A purge of one object, or of a whole group, at a Unix time."""
         now = self.clock.now()
-        self.purged = {k: t for k, t in self.purged.items() if now - t <= self.settings.purge_done}
-        what = (None, group) if obj is None else (obj, -1)
-        self.purged[what] = max(made, self.purged.get(what, 0.0))
+        self.purges.told(obj, group, made, now, self.settings.purge_done)
         self._notify(api.Purged(obj, group, max(0.0, now - made)))
 
     def ready(self) -> int:
@@ -392,8 +391,7 @@
     def oldest_copy(self, order: Order) -> float:
         """Guards rule 5 against a purge that was told between the decision and the send."""
         ask = order.ask
-        made = max(self.purged.get(k, 0.0) for k in ((ask.object, -1), (None, ask.group)))
-        age = self.clock.now() - made
+        age = self.purges.age(ask.object, ask.group, self.clock.now())
         if age > self.settings.purge_done:
             return order.max_age
         return max(1e-3, min(age, order.max_age or self.settings.classes[ask.klass].fresh_for or math.inf))
--- a/zincladder/decide.py
+++ b/zincladder/decide.py
@@ -8,13 +8,14 @@
 
 from bisect import bisect_right
 from collections.abc import Iterator
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from hashlib import md5
 from random import Random
 from statistics import median_low
 
+from zincladder import capacity, overload
 from zincladder import interface as api
-from zincladder import overload
+from zincladder.purges import Purges
 
 POINTS = 16  # virtual nodes for each transfer that a member's link fits: shares follow links within a tenth
 POINTS_EVEN = 128  # where no weights are listed; the paper's 4 leave some members twice the share of others
@@ -24,9 +25,6 @@
 PROMPT = 1.0  # of a class's base aim that a strain may add to a request's sending; past it, it is refused
 LINK_FULL = 2.5  # transfers on the location's link over those at full pace; fills then crawl past the aim
 PARENT_PART = 0.2  # a parent's link, of the pooled links of the caches behind it: the least likely
-CORES_AT = (0.25, 0.8)  # how busy a cache must be for its report to tell its cores
-REPORTS_LEAST = 3  # before they are gone by: one alone is noise
-CORES_STEPS = (0.02, 0.1)  # weight of a report that tells of more cores, and of fewer: rather too few
 TRIES = 4  # attempts of one request: enough for a few dead members, too few to feed an overload
 ERRORS = 2  # after so many a request cannot be used anywhere: members' own errors are rare
 KEEP = 1  # the one rank of all kept copies: with a single rank every cache is a plain LRU
@@ -39,7 +37,7 @@
 STRETCH = 3.0  # times the sending time on top: answers share links, and fills come before them
 YOUNGEST = 1e-3  # the wire reads an age of 0 as the default, so the least age is a millisecond
 NEAR_LEAST = 0.1  # of what a neighbour may hold, asked of it even where it held nothing lately
-RECENT = 0.02  # weight of the newest request in running means of sending times
+RECENT = 0.02  # weight of the newest pace where sizes are not told
 PROBE_EVERY = 0.5  # seconds between probes where load is told by probes only
 PROBING = (-1, 0)  # the timer of the probes
 
@@ -137,12 +135,12 @@
         self.attempts: dict[tuple[int, int], Attempt] = {}
         self.timers: dict[int, tuple[int, int]] = {}
         self.tokens = 0
-        self.purges: dict[tuple[int | None, int], float] = {}
+        self.purges = Purges()
         self.out_there, self.weight_there = 0, 1.0  # attempts out at the location's caches; their weights
-        self.cores = 1.0  # transfers that one cache sends at full pace: judged where weights are not listed
+        self.cores = capacity.CoresEstimate()  # of one cache, where weights are not listed
         self.spare = overload.OriginBudget()  # fills from the origin beside parents of which none is fit
         self.near = 1.0  # share of what was asked of a neighbour that it held, lately
-        self.reports, self.probing = 0, False  # of caches, that told of their cores; the round of probes
+        self.probing = False  # whether the round of probes goes on
         self.usual, self.link = 1.0, 0.0  # the median pace of the caches' hits; how full their link in is
         self.out: list[api.Action] = []
 
@@ -161,10 +159,7 @@
             case api.MemberList():
                 self._listed(event, now)
             case api.Purged():
-                done = now - self.settings.purge_done
-                self.purges = {key: made for key, made in self.purges.items() if made >= done}
-                what = (None, event.group) if event.object is None else (event.object, -1)
-                self.purges[what] = max(now - event.age, self.purges.get(what, done))
+                self.purges.told(event.object, event.group, now - event.age, now, self.settings.purge_done)
             case api.ClientLeft():
                 self._over(event.request)
             case api.ProbeEnded():
@@ -176,9 +171,8 @@
     def _retune(self, event: api.NewSettings) -> None:
         """Open requests hold their class and attempts; what was learned of a class that stays is kept."""
         self.settings = s = event.settings
-        # Sending times by class. Where sizes are not told, the base aim stands until hits have been timed.
-        self.mean_work: list[float] = [self.mean_work[i] if i >= 0 else 0.0 for i in event.learned]
-        self.timed: list[int] = [self.timed[i] if i >= 0 else 0 for i in event.learned]
+        works = [replace(self.works[i]) if i >= 0 else capacity.WorkEstimate() for i in event.learned]
+        self.works: list[capacity.WorkEstimate] = works
         self.throttle = overload.FillThrottle(max((klass.deadline for klass in s.classes), default=0.0))
         self.zone_routers = max(1, *s.routers_by_zone[s.zone : s.zone + 1], 1)
 
@@ -229,7 +223,7 @@
         if m.started_at <= 0 or age >= kin[0].warm_after or m.kind == s.origin_kind:
             return True
         if seen.cold is None:
-            seen.cold = overload.ColdBudget(self.random.random() * max(self.mean_work), now)
+            seen.cold = overload.ColdBudget(self.random.random() * max(w.mean for w in self.works), now)
         return seen.cold.room(kin[0], kin[1], self._weight(m), work, age, now)
 
     def _weight(self, member: api.Member) -> float:
@@ -238,9 +232,9 @@
         if s.weights_listed:
             return member.weight
         if member.kind != s.parent_kind:
-            return self.cores
+            return self.cores.value
         behind = len(self.caches.ids) * sum(n > 0 for n in s.routers_by_zone) / max(1, len(self.parents.ids))
-        return max(1.0, PARENT_PART * self.cores * behind)
+        return max(1.0, PARENT_PART * self.cores.value * behind)
 
     def _pick(self, ring: Ring, job: Job, work: float, now: float) -> Seen | None:
         """The first member on the object's walk that may be asked; a trial is taken where one is due."""
@@ -285,12 +279,12 @@
 
     def _sized(self) -> bool:
         """Whether the caches' links are known: listed, or told of by some reports."""
-        return self.settings.weights_listed or self.reports >= REPORTS_LEAST
+        return self.settings.weights_listed or self.cores.is_known()
 
     def _mean_crowd(self) -> float:
         if not self._sized():
             return 0.0  # a router that has just started would refuse what a lost cache leaves over
-        listed, judged = self.settings.weights_listed, self.cores * max(1, len(self.caches.ids))
+        listed, judged = self.settings.weights_listed, self.cores.value * max(1, len(self.caches.ids))
         return self.out_there * self.zone_routers / (self.weight_there if listed else judged)
 
     def _count(self, seen: Seen, change: int) -> None:
@@ -299,12 +293,11 @@
 
     def _max_age(self, job: Job, now: float) -> float:
         """Guards rule 5: the oldest copy that will do; 0 for the class's own fresh time."""
-        long_ago, request = float("-inf"), job.request
         limit = job.klass.fresh_for + (job.klass.usable_after if job.stale else 0.0)
-        made = max(self.purges.get(k, long_ago) for k in ((request.object, -1), (None, request.group)))
-        if now - made > self.settings.purge_done:
+        age = self.purges.age(job.request.object, job.request.group, now)
+        if age > self.settings.purge_done:
             return limit if job.stale else 0.0
-        return max(YOUNGEST, min(now - made, limit or float("inf")))
+        return max(YOUNGEST, min(age, limit or float("inf")))
 
     def _allowed(self, job: Job, now: float) -> bool:
         """Guards rule 2: whether this request may be sent (again)."""
@@ -316,18 +309,14 @@
     def _arrived(self, request: api.Request, now: float) -> None:
         klass, pace = self.settings.classes[request.klass], self.settings.client_kb_per_s
         self.spare.earn()
-        mean = self.mean_work[request.klass]
-        if request.size_kb > 0 and pace > 0:
-            work = request.size_kb / pace
-            self.mean_work[request.klass] = mean + (work - mean) * RECENT if mean else work
-        else:
-            work = self.mean_work[request.klass] = mean or klass.aim
+        known, works = request.size_kb > 0 and pace > 0, self.works[request.klass]
+        work = works.sized(request.size_kb / pace) if known else works.unsized(klass.aim)
         name = request.object.to_bytes(8, "big")
         home = point(name + request.part.to_bytes(4, "big")) if request.part else point(name)
-        self.jobs[request.id] = Job(request, klass, work, home, point(name), self.settings.max_attempts)
+        job = self.jobs[request.id] = Job(request, klass, work, home, point(name), self.settings.max_attempts)
         if not klass.never_kept and overload.hopeless(request.due - now, work, klass.deadline):
-            return self._give_up(self.jobs[request.id])
-        self._place(self.jobs[request.id], now)
+            return self._give_up(job)
+        self._place(job, now)
 
     def _place(self, job: Job, now: float) -> None:
         """Sends the next attempt of a request, or gives its final answer."""
@@ -335,7 +324,7 @@
         if job.sends >= min(TRIES, job.most) or now >= request.due:
             return self._give_up(job)
         origin = self.seen.get(self.origin) if self.origin else None
-        cache = self._pick(self.caches, job, self.mean_work[request.klass], now)
+        cache = self._pick(self.caches, job, self.works[request.klass].mean, now)
         # Guards the origin, which alone runs writes: where parents fail, all routers would fall back on it.
         spare = origin if self.spare.left() or not self.parents.ids else None
         source = origin if job.klass.never_kept else self._pick(self.parents, job, job.work, now) or spare
@@ -377,7 +366,7 @@
         if source.member.id == self.origin and member.kind != s.parent_kind and not job.klass.never_kept:
             self.spare.spend()
         for seen in (target,) if target is source else (target, source):
-            weight = job.work if seen.member.kind == s.parent_kind else self.mean_work[request.klass]
+            weight = job.work if seen.member.kind == s.parent_kind else self.works[request.klass].mean
             if seen.cold:
                 seen.cold.debt += weight
         if member.kind == s.origin_kind:
@@ -455,11 +444,8 @@
             return
         told = dict(zip(names, report, strict=True))
         self.link = told.get("link", self.link)
-        if CORES_AT[0] <= told.get("busy", 0.0) <= CORES_AT[1] and "held" in told:
-            self.reports += 1  # the first weigh alike: a slow start refused much of a calm day
-            cores = told["held"] / told["busy"]
-            share = max(CORES_STEPS[cores < self.cores], 1 / self.reports)
-            self.cores = max(1.0, self.cores + share * (cores - self.cores))
+        if "busy" in told and "held" in told:
+            self.cores.told(told["busy"], told["held"])
 
     def _blamed(self, event: api.AttemptEnded, attempt: Attempt) -> api.MemberIds:
         """Whose a failure was: the cache's, or its source's where the answer says so.
@@ -500,10 +486,7 @@
             prompt = event.note is api.Note.SOURCE_FAILED and event.fill_wait < job.klass.aim / 2
             return self._mark(source if event.note in SOURCE_FAULTS else None, True, now, prompt)
         if event.result is api.Result.OK and event.note is api.Note.HIT and not told:
-            # Guards the guards: with sizes untold, only a hit's time tells of work; no link was spared at 0.
-            self.timed[klass] += 1
-            share = max(RECENT, 1 / self.timed[klass])
-            self.mean_work[klass] += (event.latency - self.mean_work[klass]) * share
+            self.works[klass].timed(event.latency)
         own = event.note is api.Note.HIT or attempt.cache in self.parents.ids
         server = cache if own else source
         if server and event.result is api.Result.OK and (own or event.note in FILLS):
