Pass a parent by only where it is strained for sure, and judge early where fills are few

Change: a parent is passed by once its admitted share is under a half; a fill is strained past half of its spare time where fewer than 20 come in a recovery time, else past three quarters.

--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -258,6 +258,15 @@
     assert origin.admitted(10.0) == pytest.approx(0.25)
 
 
+def test_where_fills_are_few_a_strain_is_told_earlier() -> None:
+    limits = throttle.SourceThrottles(recovery=6.0)
+    assert limits.spare_share(10.0) == throttle.SPARE_OF_FEW
+    for _ in range(30):
+        limits.ended(b"a", False, 10.0)
+    assert limits.spare_share(10.0) == throttle.SPARE_OF_MANY
+    assert limits.spare_share(20.0) == throttle.SPARE_OF_FEW
+
+
 @pytest.mark.parametrize(
     ("result", "note", "latency", "strained"),
     [
@@ -279,12 +288,12 @@
 ) -> None:
     klass = api.RequestClass(aim=0.5, deadline=3.0, aim_stretch=2.0)
     event = api.AttemptEnded(1, 0, b"cache0", result, latency, note=note)
-    assert throttle.fill_strained(event, klass, 0.1, own_fault=False) is strained
+    assert throttle.fill_strained(event, klass, 0.1, own_fault=False, spare_share=0.5) is strained
 
 
 def test_a_refusal_of_the_caches_own_tells_nothing_of_its_source() -> None:
     event = api.AttemptEnded(1, 0, b"cache0", R.REFUSED, 0.01)
-    assert throttle.fill_strained(event, api.RequestClass(0.5, 3.0), 0.1, own_fault=True) is None
+    assert throttle.fill_strained(event, api.RequestClass(0.5, 3.0), 0.1, True, 0.5) is None
 
 
 def test_a_fill_that_is_slow_at_a_cache_that_answers_others_tells_of_its_source_at_once() -> None:
--- a/zincladder/decide.py
+++ b/zincladder/decide.py
@@ -470,7 +470,8 @@
         self._report(attempt.cache, event.report)
         beside = attempt.source in self.caches.ids and attempt.source != attempt.cache
         self.retries.ended(event.result)
-        strained = throttle.fill_strained(event, job.klass, job.work, blamed <= self.caches.ids)
+        own_fault, share = blamed <= self.caches.ids, self.throttle.spare_share(now)
+        strained = throttle.fill_strained(event, job.klass, job.work, own_fault, share)
         self._fill_told(attempt, strained, now)
         if beside and event.result in (api.Result.OK, api.Result.MISS):  # no other end tells what it holds
             self.near += MEMORY * (max(NEAR_LEAST, event.result is api.Result.OK) - self.near)
--- a/zincladder/throttle.py
+++ b/zincladder/throttle.py
@@ -22,9 +22,9 @@
 # What a good fill multiplies the share by: at the strained share that is borne, cuts and raises cancel out.
 GOOD_RAISE = (1 - STRAIN_CUT) ** (-STRAIN_BORNE / (1 - STRAIN_BORNE))
 UNCONFIRMED = 0.5  # weight of a strained fill that no other source confirms: it is common or not, even odds
-# Of a fill's spare time: what is told of a queue is as old as the fill that waited in it. What has joined the
-# queue since has the other half.
-EARLY = 0.5
+# Of a fill's spare time, past which it is strained. What a fill tells of a queue is as old as the fill is;
+# where fills are few, the next one comes a second later, and what has joined by then needs the other half.
+SPARE_OF_FEW, SPARE_OF_MANY = 0.5, 0.75
 LEAST_ADMITTED = 0.05  # admitted even under the worst strain: what shows that the strain is over
 STRAIN_SURE = 0.5  # admitted share below which fills are slow for sure
 # Ends that tell of a strain where they come late; an error does too, as a cache gives slow fills up with one.
@@ -58,6 +58,10 @@
         """The share that is admitted at this time, from `LEAST_ADMITTED` to 1."""
         return 1 - self._withheld * self._fade(now)
 
+    def is_sparse(self, now: float) -> bool:
+        """Whether it is told of few fills."""
+        return self._fills * self._fade(now) < MANY_FILLS
+
     def is_strained(self, now: float) -> bool:
         """Whether fills are slow for sure."""
         return self.admitted(now) < STRAIN_SURE
@@ -85,6 +89,10 @@
             weight = UNCONFIRMED if strained and not self._confirmed(source, now) else 1.0
         self._common.ended(strained, now, weight)
 
+    def spare_share(self, now: float) -> float:
+        """The share of its spare time past which a fill is strained."""
+        return SPARE_OF_FEW if self._common.is_sparse(now) else SPARE_OF_MANY
+
     def keep_only(self, sources: Container[api.MemberId]) -> None:
         """Forgets the sources that are not on the list any more."""
         self._sources = {i: kept for i, kept in self._sources.items() if i in sources}
@@ -96,7 +104,7 @@
     def keeps(self, source: api.MemberId, now: float, lot: Callable[[], float]) -> bool:
         """Whether a request stays at its own source; else the next fit one is asked. `lot`: from 0 to 1."""
         throttle = self._sources.get(source)
-        if throttle is None:
+        if throttle is None or not throttle.is_strained(now):
             return True
         elsewhere = self._common.admitted(now) if self._confirmed(source, now) else 1.0
         own = throttle.admitted(now)
@@ -113,13 +121,13 @@
 
 
 def fill_strained(
-    event: api.AttemptEnded, klass: api.RequestClass, work: float, own_fault: bool
+    event: api.AttemptEnded, klass: api.RequestClass, work: float, own_fault: bool, spare_share: float
 ) -> bool | None:
     """Whether an attempt's end tells of a strain of its source; `None` where it tells nothing of a fill.
 
     `work` is the request's sending time in seconds; `own_fault` says that a refusal was the cache's own, not
-    its source's. What was not held and takes more than `EARLY` of the time that an answer of full worth has
-    beside its sending is strained.
+    its source's. What was not held and takes more than `spare_share` of the time that an answer of full worth
+    has beside its sending is strained.
     """
     if event.note in SOURCE_STRAINED:
         return True
@@ -128,6 +136,6 @@
     if event.note is api.Note.HIT:
         return None
     spare = max(0.0, klass.aim + (klass.aim_stretch - 1) * work)
-    if event.latency > work + EARLY * spare:
+    if event.latency > work + spare_share * spare:
         return True if event.result in LATE else None
     return False if event.result is api.Result.OK else None
