Show the ramp of a cold member under the sum of 1, 3, 30 and 230 uneven routers

Need: a cold member falls under the sum of what all fronts send; past the budget of N calls only 2 x root of N + 2 are chance. The test asks three times what the member bears, half of it through a tenth of the routers, and starts each router anew every 4 s on average.

--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -2,8 +2,16 @@
 
 from __future__ import annotations
 
+import itertools
+import math
+from random import Random
+from typing import Any
+
+import pytest
+
 from tests.conftest import FLEET, ORIGIN_MEMBER, Driver, cache, finals, get, parent, sends
 from zincladder import interface as api
+from zincladder.decide import point
 
 R = api.Result
 
@@ -164,6 +172,34 @@
             assert 0 < window <= limit, (member, second, window, limit)
 
 
+@pytest.mark.parametrize("routers", [1, 3, 30, 230])
+def test_a_cold_member_bears_the_sum_of_routers_of_uneven_traffic_that_come_and_go(routers: int) -> None:
+    # asked for three times what it bears, half of it by a tenth of the routers; each starts anew every 4 s
+    kb, cold = 400.0, parent(9, started_at=100.0)
+    changes: dict[str, Any] = {"routers": routers, "routers_by_zone": (0, routers)}
+    drivers = [Driver((*FLEET, cold), seed=n, **changes) for n in range(routers)]
+    parents = drivers[0].router.parents
+    keys = [k for k in range(2000) if next(parents.walk(point(k.to_bytes(8, "big")))) == cold.id]
+    random, times, starts, now = Random(routers), list[float](), routers, 100.0
+    for request in itertools.count(1):
+        now += random.expovariate(3 * 2 * cold.weight / (kb / 1000))
+        if now > 106.0:
+            break
+        if random.random() < routers / (4.0 * 3 * 2 * cold.weight / (kb / 1000)):
+            drivers[random.randrange(routers)] = Driver((*FLEET, cold), seed=starts, **changes)
+            starts += 1
+        few = random.random() < 0.5
+        d = drivers[random.randrange(max(1, routers // 10) if few else routers)]
+        d.now = now
+        if d.serve(request, key=random.choice(keys), kb=kb).source == cold.id:
+            times.append(now)
+    for begin in times:
+        part = 0.25 + 0.75 * (begin - 100.0) / 10
+        calls = 2 * part * cold.weight / (kb / 1000)
+        assert sum(begin <= t < begin + 1 for t in times) <= calls + 2 * math.sqrt(calls) + 2
+    assert len(times) > 0.1 * 6 * 2 * cold.weight / (kb / 1000) * 0.25  # and it is used
+
+
 def test_a_request_larger_than_half_of_a_cold_members_budget_goes_on() -> None:
     d = Driver((*FLEET, parent(9, weight=4.0, started_at=100.0)))
     d.now += 3.0
