--- a/benchmarks/decisions.py
+++ b/benchmarks/decisions.py
@@ -20,7 +20,8 @@
 from pathlib import Path
 from typing import Any
 
-from zincladder.admission.gate import Bounds, Gate
+from zincladder.admission.gate import Gate
+from zincladder.admission.interface import Bounds
 from zincladder.admission.ledger import SHARED, Ledger
 from zincladder.admission.model import Lane, Limits, Verdict, key_of
 
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -11,7 +11,8 @@
 from hypothesis import settings as effort
 from hypothesis import strategies as st
 
-from zincladder.admission.gate import Bounds, Gate
+from zincladder.admission.gate import Gate
+from zincladder.admission.interface import Bounds
 from zincladder.admission.ledger import SHARED, Ledger, Use
 from zincladder.admission.lrfu import Lrfu
 from zincladder.admission.model import (
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -18,7 +18,7 @@
 
 from tests.stands import KEY, SETTINGS, Fetch, Script, StubCache, World, client, configuration, serve, world
 from tests.test_front import cut, hold
-from zincladder.admission.gate import Bounds
+from zincladder.admission.interface import Bounds
 from zincladder.admission.ledger import PLAIN, Ledger
 from zincladder.admission.model import Verdict
 from zincladder.admission.plain import Plain
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -12,7 +12,7 @@
 import yaml
 
 from tests.stands import Fetch, StubCache, client, serve, world
-from zincladder.admission.gate import Bounds
+from zincladder.admission.interface import Bounds
 from zincladder.admission.ledger import PLAIN, Ledger
 from zincladder.admission.plain import Plain
 from zincladder.config import ConfigError, Names
--- a/zincladder/__main__.py
+++ b/zincladder/__main__.py
@@ -23,7 +23,8 @@
 
 from zincladder import config as configuration
 from zincladder import interface as api
-from zincladder.admission.gate import Admission, Bounds, Gate
+from zincladder.admission.gate import Gate
+from zincladder.admission.interface import Admission, Bounds
 from zincladder.admission.ledger import PLAIN, SHARED, Ledger
 from zincladder.admission.plain import Plain
 from zincladder.config.reload import Reload
--- a/zincladder/admission/plain.py
+++ b/zincladder/admission/plain.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from zincladder.admission.gate import NOTHING, TAKE, Bounds, Look
+from zincladder.admission.interface import NOTHING, TAKE, Bounds, Look
 from zincladder.admission.ledger import Ledger, Use
 from zincladder.admission.model import Act, Decision, Lane, Seat, Source, Tallies, Verdict, Why
 from zincladder.admission.responses import Response
--- a/zincladder/control/commands.py
+++ b/zincladder/control/commands.py
@@ -10,7 +10,8 @@
 from collections.abc import Callable, Mapping
 from typing import Any
 
-from zincladder.admission.gate import Admission, Gate
+from zincladder.admission.gate import Gate
+from zincladder.admission.interface import Admission
 
 MOST_LINE = 65_536
 MOST_ROWS = 1000
--- a/zincladder/dns/server.py
+++ b/zincladder/dns/server.py
@@ -8,7 +8,7 @@
 import anyio
 import structlog
 
-from zincladder.admission.gate import Admission
+from zincladder.admission.interface import Admission
 from zincladder.admission.ledger import Use
 from zincladder.admission.model import Why
 from zincladder.admission.responses import Response
--- a/zincladder/metrics/registry.py
+++ b/zincladder/metrics/registry.py
@@ -5,7 +5,8 @@
 from collections.abc import Callable, Iterable, Iterator, Mapping
 from dataclasses import dataclass
 
-from zincladder.admission.gate import Admission, Gate
+from zincladder.admission.gate import Gate
+from zincladder.admission.interface import Admission
 from zincladder.admission.model import Lane
 from zincladder.core.engine import Core
 
--- a/zincladder/net/clients.py
+++ b/zincladder/net/clients.py
@@ -17,7 +17,7 @@
 from anyio.abc import TaskGroup
 
 from zincladder import interface as api
-from zincladder.admission.gate import Admission
+from zincladder.admission.interface import Admission
 from zincladder.admission.model import Act, Decision, Seat, Why
 from zincladder.config import Config
 from zincladder.core.attempt import Ask
--- a/zincladder/net/door.py
+++ b/zincladder/net/door.py
@@ -16,7 +16,8 @@
 import anyio
 import anyio.lowlevel
 
-from zincladder.admission.gate import Admission, Gate
+from zincladder.admission.gate import Gate
+from zincladder.admission.interface import Admission
 from zincladder.admission.model import Decision, Seat, Verdict, Why
 from zincladder.config import Address
 from zincladder.net.stream import family
