Test that a watch comes back past idle clients that fill the descriptors

Need: idle clients may fill the descriptors while discovery is down; the watch still comes back, status says yes, requests are served and a drain told then is kept. The stand-in coordinator can go down.

--- a/tests/stands.py
+++ b/tests/stands.py
@@ -128,6 +128,8 @@
     streams: list[anyio.abc.ByteStream] = field(default_factory=list)
     followed: anyio.Event = field(default_factory=anyio.Event)
     turn: anyio.Lock = field(default_factory=anyio.Lock)
+    down: bool = False  # connections are ended before anything is said on them
+    turned_away: int = 0
 
     async def run(self, *, task_status: anyio.abc.TaskStatus[None]) -> None:
         listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
@@ -136,6 +138,9 @@
         await listener.serve(self._connection)
 
     async def _connection(self, stream: anyio.abc.ByteStream) -> None:
+        if self.down:
+            self.turned_away += 1
+            return await stream.aclose()
         data = b""
         while len(data) < 8:
             data += await stream.receive()
@@ -152,6 +157,13 @@
                     await stream.send(_frame(0, 0, b""))
                 await anyio.sleep(0.3)
 
+    async def go_down(self) -> None:
+        """Ends all that follow, and whoever comes until `down` is taken back."""
+        self.down = True
+        for stream in self.streams:
+            await stream.aclose()
+        self.streams.clear()
+
     async def tell(self, kind: int, payload: bytes) -> None:
         number = (self.events[-1][0] if self.events else 1) + 1
         self.events.append((number, kind, payload))
--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -228,3 +228,34 @@
         await c.ask()
         await c.reply()
         assert not [f for cache in w.caches[:2] for f in cache.fetches]
+
+
+async def test_idle_clients_that_fill_the_descriptors_while_discovery_is_down_do_not_keep_the_watch_away(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    # guards drains: a watch that finds no descriptor when discovery is back hears of none
+    cores = cores_of(monkeypatch)
+    async with world(serve, serve, limits={"sockets": 16}) as w:
+        while not w.coordinator.streams:
+            await w.coordinator.followed.wait()
+        await w.coordinator.go_down()
+        crowd = [socket.create_connection(w.listening.clients) for _ in range(64)]
+        await until(lambda: w.coordinator.turned_away > 1)  # it tries again beside the crowd
+        async with client(w) as c:
+            await c.send("status", b"\x02\0\1\1")
+            assert (await c.reply()).good
+            await c.ask()
+            assert (await c.reply()).kind == "served"
+        drained = w.caches[0]
+        w.coordinator.events.append((2, 2, drained.record(1)))
+        w.coordinator.down = False
+        crowd += [socket.create_connection(w.listening.clients) for _ in range(64)]
+        await until(lambda: cores[0].members[drained.name.encode()].state is State.DRAINING)
+        before = len(drained.fetches)
+        async with client(w) as late:
+            for n in range(4):
+                await late.ask(entity=f"{n:016x}")
+                assert (await late.reply()).kind == "served"
+        assert len(drained.fetches) == before
+        for sock in crowd:
+            sock.close()
