Take a source that is gone, or a slow fill from the origin, for no strain of the origin

Cause: a parent that is not reached counted as strained, and fills straight from the origin, slow by their way, counted in full as the origin's own answers do.

Change: a source that fails at once is not strained; what the origin answers itself (writes) alone counts in full.

--- a/zincladder/decide.py
+++ b/zincladder/decide.py
@@ -507,7 +507,7 @@
         told = attempt.cache == self.origin or not beside
         if told and strained is not None and not (attempt.slow if strained else attempt.job.held_only):
             attempt.slow = strained
-            source = None if attempt.source == self.origin else attempt.source
+            source = None if attempt.cache == self.origin else attempt.source
             self.throttle.ended(source, strained, now)
 
     def _mark(self, seen: Seen | None, failed: bool, now: float, prompt: bool = False) -> None:
--- a/zincladder/throttle.py
+++ b/zincladder/throttle.py
@@ -29,7 +29,7 @@
 STRAIN_SURE = 0.5  # admitted share below which fills are slow for sure
 # Ends that tell of a strain where they come late; an error does too, as a cache gives slow fills up with one.
 LATE = (api.Result.OK, api.Result.TIMED_OUT, api.Result.CANCELLED, api.Result.ERROR)
-SOURCE_STRAINED = (api.Note.SOURCE_REFUSED, api.Note.SOURCE_FAILED, api.Note.ORIGIN_FAILED)
+SOURCE_STRAINED = (api.Note.SOURCE_REFUSED, api.Note.ORIGIN_FAILED)
 
 
 class FillThrottle:
@@ -131,11 +131,11 @@
     """
     if event.note in SOURCE_STRAINED:
         return True
-    if event.result is api.Result.REFUSED:
+    if event.result is api.Result.REFUSED and event.note is not api.Note.SOURCE_FAILED:
         return None if own_fault else True
     if event.note is api.Note.HIT:
         return None
     spare = max(0.0, klass.aim + (klass.aim_stretch - 1) * work)
     if event.latency > work + spare_share * spare:
-        return True if event.result in LATE else None
+        return True if event.result in LATE or event.note is api.Note.SOURCE_FAILED else None
     return False if event.result is api.Result.OK else None
