--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -23,6 +23,7 @@
 
 ALL_GREEN = "KNOWN RED: test_some.py::test_wrong is known to fail: sums are wrong (issue 1)"
 PASSES = "test_some.py::test_right | none | issue 3\n"
+AT_TIMES = PASSES.strip() + " | intermittent"
 GONE = "test_some.py::test_gone | none | issue 3\n"
 
 
@@ -39,6 +40,10 @@
         (WRONG + SECOND + "a.py::a | b | c\nb.py::b | c | d\n", 0, False, "4 tests are listed, 3 at most"),
         (WRONG + "test_some.py::test_each[2]\n", 0, False, "a line is 'test | cause | issue'"),
         (WRONG + WRONG, 0, False, "is listed twice"),
+        (WRONG + SECOND + AT_TIMES, 2, True, "test_right is known to fail at times"),  # it passed
+        (SECOND + WRONG.strip() + " | intermittent", 0, True, "test_wrong is known to fail at times"),
+        (WRONG + SECOND + GONE.strip() + " | intermittent", 0, False, "test_gone does not exist"),
+        (WRONG + SECOND + PASSES.strip() + " | sometimes", 0, False, "a line is 'test | cause | issue'"),
     ],
 )
 def test_what_is_listed_is_passed_over_and_nothing_else(
