Log when the coordinator answers, what it changes in the list and how long a start took

Need: the incident's logs held nothing but ready lines; neither the watch nor a drain could be told from them. Change: 'coordinator followed' (from which event, newest, wait), 'list changed' (members by state, 16 named at most, ten lines a second at most), 'ready' with startup_s and the number of the last event known. Sparing writes such lines at a bounded rate. Test: tests/test_watch.py what_the_coordinator_said_can_be_followed_in_the_log.

--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -259,3 +259,20 @@
         assert len(drained.fetches) == before
         for sock in crowd:
             sock.close()
+
+
+async def test_what_the_coordinator_said_can_be_followed_in_the_log() -> None:
+    # an incident had to be told from ready lines alone: neither the watch nor the drains stood in the log
+    with capture_logs() as lines:
+        async with world(serve, serve) as w:
+            while not w.coordinator.streams:
+                await w.coordinator.followed.wait()
+            drained = w.caches[0]
+            await w.coordinator.tell(2, drained.record(1))
+            await until(lambda: any(line["event"] == "list changed" for line in lines))
+    (ready,) = [line for line in lines if line["event"] == "ready"]
+    assert ready["known"] == 1 and ready["startup_s"] > 0
+    (followed,) = [line for line in lines if line["event"] == "coordinator followed"]
+    assert followed["after"] == 1 and 0 <= followed["waited_s"] < 5
+    (changed,) = [line for line in lines if line["event"] == "list changed"]
+    assert changed["draining"] == [drained.name] and changed["ready"] == changed["gone"] == []
--- a/zincladder/__main__.py
+++ b/zincladder/__main__.py
@@ -12,6 +12,7 @@
 import logging
 import os
 import signal
+import time
 from collections.abc import Iterator
 from dataclasses import asdict, dataclass
 from functools import partial
@@ -43,10 +44,22 @@
     from zincladder.policy.front import FleetPolicy
 if sys.modules["rich"] is None:
     del sys.modules["rich"]
+BEGAN = time.monotonic()  # before the event loop runs; only the interpreter and the imports come earlier
+LIST_LINES = 0.1  # seconds between two lines on changes of the list
+MOST_NAMED = 16  # members that one log line names
 FLUSH = 0.5  # seconds after the last answer for the last samples to be sent
 log = structlog.get_logger()
 
 
+def log_change(news: Listed, lines: Sparing) -> None:
+    """Logs which members a change to the list concerns, as far as one line names them."""
+    named = {
+        state.name.lower(): [m.id.decode("latin-1") for m, _ in news.members if m.state is state][:MOST_NAMED]
+        for state in api.State
+    }
+    lines.info("list changed", version=news.version, entries=len(news.members), **named)
+
+
 def tell(core: Core, caches: Caches, news: News) -> None:
     """Hands one event of the coordinator to the parts that it concerns."""
     if not isinstance(news, Listed):
@@ -144,7 +157,14 @@
             tell(core, caches, news)
         tasks.start_soon(core.run)
         if config.coordinator:
-            feed = Feed(config.coordinator, last, lambda news: tell(core, caches, news), config.seed)
+            lines = Sparing(LIST_LINES)
+
+            def told(news: News) -> None:
+                if isinstance(news, Listed):
+                    log_change(news, lines)
+                tell(core, caches, news)
+
+            feed = Feed(config.coordinator, last, told, config.seed)
             tasks.start_soon(feed.run)
         reload.parts += [partial(retune, core), clients.use, caches.use, partial(bound, admission)]
         reload.counts = core.counts
@@ -227,6 +247,8 @@
         log.info(
             "ready",
             name=config.name,
+            startup_s=round(time.monotonic() - BEGAN, 3),
+            known=last,
             members=len(core.members),
             memory_mb=config.memory_mb,
             sockets=config.sockets,
--- a/zincladder/net/feed.py
+++ b/zincladder/net/feed.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from random import Random
+from time import monotonic
 from typing import Any
 
 import anyio
@@ -155,6 +156,7 @@
         try:
             inbox, outbox = Inbox(sock), Outbox(sock)
             outbox.put([self.last.to_bytes(8, "big")])
+            asked_at, after, first = monotonic(), self.last, True
             while True:
                 with anyio.fail_after(SILENCE):  # guards against a coordinator that is cut off
                     length, number, kind = HEAD.unpack(await inbox.exactly(HEAD.size))
@@ -162,6 +164,12 @@
                         raise Ended(How.GARBLED, f"a frame of {length} bytes")
                     payload = await inbox.exactly(length - (HEAD.size - 4))
                 self.connected = self.heard = True
+                if first:
+                    waited = round(monotonic() - asked_at, 3)
+                    self._warn.info(
+                        "coordinator followed", after=after, newest=number, kind=kind, waited_s=waited
+                    )
+                    first = False
                 news = read_frame(kind, number, payload)
                 if news is not None and number > self.last:
                     self._tell(news)
--- a/zincladder/sparing.py
+++ b/zincladder/sparing.py
@@ -1,8 +1,9 @@
-"""Warnings that a peer can cause at will, at a bounded rate."""
+"""Log lines that a peer can cause at will, at a bounded rate."""
 
 from __future__ import annotations
 
 import time
+from collections.abc import Callable
 from typing import Any
 
 import structlog
@@ -19,10 +20,18 @@
         self._kinds: dict[str, tuple[float, int]] = {}  # by event, of which the program has few
 
     def warning(self, event: str, **more: Any) -> None:
+        """Logs a line of trouble, unless one of its kind was logged lately."""
+        self._line(log.warning, event, more)
+
+    def info(self, event: str, **more: Any) -> None:
+        """Logs a line of the usual course, unless one of its kind was logged lately."""
+        self._line(log.info, event, more)
+
+    def _line(self, write: Callable[..., Any], event: str, more: dict[str, Any]) -> None:
         now = time.monotonic()
         last, left_out = self._kinds.get(event, (float("-inf"), 0))
         if now - last < self._every:
             self._kinds[event] = (last, left_out + 1)
             return
         self._kinds[event] = (now, 0)
-        log.warning(event, **more, **({"left_out": left_out} if left_out else {}))
+        write(event, **more, **({"left_out": left_out} if left_out else {}))
