--- a/tests/stands.py
+++ b/tests/stands.py
@@ -130,6 +130,7 @@
     turn: anyio.Lock = field(default_factory=anyio.Lock)
     down: bool = False  # connections are ended before anything is said on them
     turned_away: int = 0
+    may_answer: anyio.Event | None = None  # who asks is answered once it is set
 
     async def run(self, *, task_status: anyio.abc.TaskStatus[None]) -> None:
         listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
@@ -145,6 +146,8 @@
         while len(data) < 8:
             data += await stream.receive()
         self.after.append(int.from_bytes(data, "big"))
+        if self.may_answer is not None:
+            await self.may_answer.wait()
         for number, kind, payload in self.events:
             if number > self.after[-1]:
                 await stream.send(_frame(number, kind, payload))
