Keep the port of a front that is down from the listeners of other tests

Traced: the 13 bytes of the stand-in coordinator's empty frame give just that error at that line; the system had given the port of the killed front to another test's coordinator. Change: the rig keeps the port bound, not listening; the test now tries to listen there itself.

--- a/tests/processes.py
+++ b/tests/processes.py
@@ -194,6 +194,7 @@
         self.ports: dict[str, int] = {}
         self.controls: dict[str, int] = {}
         self.relays: dict[tuple[str, str], Relay] = {}
+        self.reserved: list[socket.socket] = []
 
     def _module(self, drift: float) -> tuple[str, ...]:
         return ("tests.jumping", str(drift)) if drift else ("zincladder",)
@@ -271,8 +272,19 @@
         process.start()
         (said, *_) = await self.until(f"{name} listens", lambda: process.events("ready"))
         self.ports[name] = said["clients"][1]
+        self._reserve(self.ports[name])
         self.controls[name] = said["operators"][1]
 
+    def _reserve(self, port: int) -> None:
+        """Keeps a front's port from others while the front is down: clients still go there.
+
+        Without SO_REUSEADDR here the system gives it to no listener of another test, as it had done.
+        """
+        sock = socket.socket()
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
+        sock.bind(("127.0.0.1", port))
+        self.reserved.append(sock)
+
     async def ready(self, name: str) -> str:
         """What a front says to READY."""
         return (await self.told(name, b"READY\n")).strip()
@@ -581,4 +593,6 @@
                     with contextlib.suppress(ProcessLookupError):
                         process.go_on()
                 process.kill()
+            for sock in found.reserved:
+                sock.close()
             tasks.cancel_scope.cancel()
--- a/tests/test_duties_processes.py
+++ b/tests/test_duties_processes.py
@@ -9,6 +9,7 @@
 import contextlib
 import random
 import signal
+import socket
 from collections.abc import AsyncIterator
 from dataclasses import dataclass, field
 from itertools import pairwise
@@ -179,6 +180,8 @@
             before = c.newest()
             owner = await c.owner()
             c.r.processes[owner].kill()
+            with pytest.raises(OSError), socket.create_server(("127.0.0.1", c.r.ports[owner])):
+                pass  # its clients, who still go there, would take another's bytes for its answers
             await c.more(after=before)
             assert await c.owner() != owner
             await c.r.start_front(owner)
