--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -83,10 +83,14 @@
             "zincladder.core.ends",
             "zincladder.core.figures",
             "zincladder.discovery.freshness",
-            "zincladder.sparing",
+            "zincladder.support.rate_limited_log",
         }
         assert not {"socket", "struct", "h11", "dns"} & imported(f"core/{path.name}")
-    for file in ("purges.py", "discovery/freshness.py", "sparing.py"):  # what it may use knows none either
+    for file in (
+        "purges.py",
+        "discovery/freshness.py",
+        "support/rate_limited_log.py",
+    ):  # what it may use knows none either
         assert not {n for n in imported(file) if n.startswith(("zincladder", "socket", "anyio"))}
 
 
--- a/tests/test_member_links.py
+++ b/tests/test_member_links.py
@@ -24,10 +24,10 @@
 from zincladder.core.attempt import Ask, Hold, NoGuard, Order
 from zincladder.core.ends import End, How
 from zincladder.decide import NEVER_RAN
-from zincladder.lingering import LINGER
 from zincladder.net import caches as cache_side
 from zincladder.net.caches import Caches, _Link
 from zincladder.net.stream import Outbox, connect
+from zincladder.support.lingering import LINGER
 
 pytestmark = pytest.mark.anyio
 LARGE = 1 << 20  # bytes: more than the systems of both sides hold between them
--- a/zincladder/__main__.py
+++ b/zincladder/__main__.py
@@ -37,7 +37,7 @@
 from zincladder.net.clients import Clients
 from zincladder.net.door import listener
 from zincladder.net.feed import Feed, Listed, News, known_news
-from zincladder.sparing import Sparing
+from zincladder.support.rate_limited_log import RateLimitedLog
 
 if TYPE_CHECKING:
     from zincladder.export.sender import RemoteWrite
@@ -52,7 +52,7 @@
 log = structlog.get_logger()
 
 
-def log_change(news: Listed, lines: Sparing) -> None:
+def log_change(news: Listed, lines: RateLimitedLog) -> None:
     """Logs which members a change to the list concerns, as far as one line names them."""
     named = {
         state.name.lower(): [m.id.decode("latin-1") for m, _ in news.members if m.state is state][:MOST_NAMED]
@@ -166,7 +166,7 @@
         tasks.start_soon(caches.run)
         tasks.start_soon(core.run)
         if config.coordinator:
-            lines = Sparing(LIST_LINES)
+            lines = RateLimitedLog(LIST_LINES)
 
             def told(news: News) -> None:
                 if isinstance(news, Listed):
@@ -209,7 +209,9 @@
                 lambda: readiness.lacks(clock.now()),
                 lambda: figures(core, policy=policy, duty=worker),
             )
-            operators = OperatorAddress(listener(config.control), calls, admission.ledger, Sparing().warning)
+            operators = OperatorAddress(
+                listener(config.control), calls, admission.ledger, RateLimitedLog().warning
+            )
             where_control = operators.address
             tasks.start_soon(operators.run)
         if operator.dns:
--- a/zincladder/agreement/host.py
+++ b/zincladder/agreement/host.py
@@ -22,7 +22,7 @@
 from zincladder.config.keeper import KeeperConfig
 from zincladder.links.frames import VERSION, Hello, Spoilt, Stranger, Welcome, check
 from zincladder.links.host import FAILED, Link, Outbox, Patience, connect, greeted
-from zincladder.sparing import Sparing
+from zincladder.support.rate_limited_log import RateLimitedLog
 
 MOST_LINKS = 4096  # each of 2,048 fronts holds one, and another while it is upgraded
 MOST_MET = 16  # keepers, by one that is being added and knows no members yet
@@ -83,7 +83,7 @@
         self._links = 0
         self._seen = ("", "")  # role and leader, as logged last
         self._tasks: anyio.abc.TaskGroup | None = None
-        self._warning = Sparing().warning
+        self._warning = RateLimitedLog().warning
         # What stands on the group: called when the role or the state may have changed, why a caller's swap
         # can't be taken, how it comes on, and who serves the links of which role.
         self.watching: list[Callable[[], None]] = []
--- a/zincladder/agreement/leading.py
+++ b/zincladder/agreement/leading.py
@@ -24,7 +24,7 @@
 from zincladder.links.clocks import boottime
 from zincladder.links.frames import Hello
 from zincladder.links.host import FAILED, Link, Outbox
-from zincladder.sparing import Sparing
+from zincladder.support.rate_limited_log import RateLimitedLog
 
 MOST_WAITING = 64  # messages to one link; one that is lost is asked for again
 AGAIN = 0.1  # seconds after a write that came to nothing
@@ -72,7 +72,7 @@
         self._number = 0
         self.read_at = -1  # the place in the log that the part was told of last; -1: it is to be told anew
         self._due = anyio.Event()
-        self._warning = Sparing().warning
+        self._warning = RateLimitedLog().warning
         keeper.watching.append(self.wake)
         keeper.serves[self.role] = self.serve
         keeper.progress.append(self.progress)
--- a/zincladder/control/address.py
+++ b/zincladder/control/address.py
@@ -11,7 +11,7 @@
 from zincladder.config import Address
 from zincladder.control.accepting import Warn, accepting
 from zincladder.control.calls import Calls, Line
-from zincladder.lingering import LINGER, lingering_close
+from zincladder.support.lingering import LINGER, lingering_close
 
 HELD = 10.0  # seconds for a line to come and for its answer to be read
 LEAST = 4  # callers at once, however few descriptors there are
--- a/zincladder/core/engine.py
+++ b/zincladder/core/engine.py
@@ -28,7 +28,7 @@
 from zincladder.decide import NEVER_RAN, Router
 from zincladder.discovery.freshness import Freshness
 from zincladder.purges import Purges
-from zincladder.sparing import Sparing
+from zincladder.support.rate_limited_log import RateLimitedLog
 
 DUE_MARGIN = 0.02  # seconds before the client's own deadline: time to write the answer that ends it
 # Seconds between two looks at the timers, of which each request sets one. A wait of its own for each took a
@@ -118,7 +118,7 @@
         self.look_at_news: Callable[[], None] = lambda: None
         self._news_of_fleet = anyio.Event()
         self.behind = 0.0  # seconds by which the event loop was late at its last two looks
-        self._lines = Sparing()
+        self._lines = RateLimitedLog()
         self._requests = 0
         self._timers: list[tuple[float, int]] = []
         self._probes: list[api.MemberId] = []
--- a/zincladder/dns/server.py
+++ b/zincladder/dns/server.py
@@ -19,7 +19,7 @@
 from zincladder.dns.answers import MOST_SIZE, Answers
 from zincladder.net.door import turn_away
 from zincladder.net.stream import Ended, Inbox, Outbox, family
-from zincladder.sparing import Sparing
+from zincladder.support.rate_limited_log import RateLimitedLog
 
 IDLE = 5.0  # of a TCP connection between queries, and for the rest of one
 BACKLOG = 64
@@ -60,7 +60,7 @@
             raise
         for sock in (self._udp, self._tcp):
             sock.setblocking(False)
-        self._warn = Sparing()
+        self._warn = RateLimitedLog()
 
     def close(self) -> None:
         self._udp.close()
--- a/zincladder/export/sender.py
+++ b/zincladder/export/sender.py
@@ -20,7 +20,7 @@
 from zincladder.export.push import FAILED, post
 from zincladder.export.spool import Kept, MemoryStore, Spool, SpoolError
 from zincladder.metrics.registry import Sample
-from zincladder.sparing import Sparing
+from zincladder.support.rate_limited_log import RateLimitedLog
 
 LIMIT = 10.0  # seconds for one push
 SLICE = 200  # series read off before the other tasks have their turn
@@ -62,7 +62,7 @@
         self._created_ms = int(time.time() * 1000)
         self._news = anyio.Event()
         self._turn = anyio.Lock()  # of the stores: a worker thread has them one call at a time
-        self._warn = Sparing()
+        self._warn = RateLimitedLog()
         self._told_lost = 0
         if config.spool is not None:
             try:
--- a/zincladder/net/caches.py
+++ b/zincladder/net/caches.py
@@ -19,10 +19,10 @@
 from zincladder.config import BODY, Address, Config
 from zincladder.core.attempt import Hold, Order
 from zincladder.core.ends import End, How
-from zincladder.lingering import LINGER, lingering_close
 from zincladder.net import protocol
 from zincladder.net.stream import Ended, Entry, Inbox, Outbox, connect, left
-from zincladder.sparing import Sparing
+from zincladder.support.lingering import LINGER, lingering_close
+from zincladder.support.rate_limited_log import RateLimitedLog
 
 MOST_HEAD = 2048
 MOST_BODY = BODY
@@ -225,7 +225,7 @@
         self._links: dict[api.MemberId, list[_Link]] = {}
         self._waiters: dict[api.MemberId, list[_Waiter]] = {}  # oldest first
         self._tasks: TaskGroup | None = None
-        self._warn = Sparing()
+        self._warn = RateLimitedLog()
         self._probes = 0
 
     async def run(self) -> None:
--- a/zincladder/net/clients.py
+++ b/zincladder/net/clients.py
@@ -23,12 +23,12 @@
 from zincladder.core.attempt import Ask
 from zincladder.core.ends import How
 from zincladder.core.engine import DUE_MARGIN, Answer, Core
-from zincladder.lingering import AT_ONCE, LINGER, lingering_close
 from zincladder.net import protocol, thrift
 from zincladder.net.door import Door
 from zincladder.net.protocol import BadFields
 from zincladder.net.stream import Ended, Inbox, Outbox, left
-from zincladder.sparing import Sparing
+from zincladder.support.lingering import AT_ONCE, LINGER, lingering_close
+from zincladder.support.rate_limited_log import RateLimitedLog
 
 OPEN_AT_MOST = 32  # requests on one connection, as the protocol says
 TAKEN_BACK_MOST = 64  # requests taken back before they began, with no answer between them
@@ -119,7 +119,7 @@
         self._clients: dict[Seat, _Client] = {}
         self._traces: set[str] = set()  # of the requests that are open
         self._accepting = anyio.CancelScope()
-        self._warn = Sparing()
+        self._warn = RateLimitedLog()
         self._tasks: TaskGroup | None = None
         self._door = Door(
             config.listen, admission, lambda: self._config.sockets, self._seat, self._evict, listening
--- a/zincladder/net/door.py
+++ b/zincladder/net/door.py
@@ -21,7 +21,7 @@
 from zincladder.admission.model import Decision, Seat, Verdict, Why
 from zincladder.config import Address
 from zincladder.net.stream import family
-from zincladder.sparing import Sparing
+from zincladder.support.rate_limited_log import RateLimitedLog
 
 TURN = 64  # connections taken before the other tasks have their turn
 SHORT = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)  # accept(2): the system has none to give
@@ -80,7 +80,7 @@
         self._pause = PAUSES[0]
         self._turned = 0  # since the last look
         self._lobby: deque[tuple[socket.socket, Decision, float]] = deque()
-        self._warn = Sparing()
+        self._warn = RateLimitedLog()
 
     @property
     def address(self) -> Address:
--- a/zincladder/net/feed.py
+++ b/zincladder/net/feed.py
@@ -20,7 +20,7 @@
 from zincladder.discovery.freshness import Freshness
 from zincladder.net.protocol import STATE_NAMES, STATES
 from zincladder.net.stream import Ended, Outbox, connect
-from zincladder.sparing import Sparing
+from zincladder.support.rate_limited_log import RateLimitedLog
 
 HEAD = struct.Struct(">IQB")
 RECORD = struct.Struct(">I4sHBBBHIQ")
@@ -177,7 +177,7 @@
         self.connected = self.heard = False  # followed now; and at least once
         self._turn = anyio.CancelScope()
         self._pause = RETRY[0]
-        self._warn = Sparing()
+        self._warn = RateLimitedLog()
         self._watch: _Watch | None = None
         self._looked_at = 0.0
 
--- /dev/null
+++ b/zincladder/support/__init__.py
@@ -0,0 +1,1 @@
+"""Small helpers that any part may use."""
--- a/zincladder/sparing.py
+++ b/zincladder/support/rate_limited_log.py
@@ -12,7 +12,7 @@
 log = structlog.get_logger()
 
 
-class Sparing:
+class RateLimitedLog:
     """Logs at most one line of each kind a second; the next one tells how many were left out."""
 
     def __init__(self, every: float = EVERY) -> None:
