Part the coordinator's events from the watch that brings them

net/events.py has frames, events and the events of the start; net/feed.py the connection. Moved as they stood; imports follow.

--- a/tests/test_restart_view.py
+++ b/tests/test_restart_view.py
@@ -36,7 +36,8 @@
 from zincladder.discovery.freshness import ANSWER_LIMIT, MOST_TRIES, START_LIMIT, Freshness, Phase
 from zincladder.net import feed as watching
 from zincladder.net.caches import Caches
-from zincladder.net.feed import Feed, FrameReader
+from zincladder.net.events import FrameReader
+from zincladder.net.feed import Feed
 from zincladder.net.stream import Ended
 
 pytestmark = pytest.mark.anyio
--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -19,7 +19,8 @@
 from zincladder.discovery.freshness import Phase
 from zincladder.interface import State
 from zincladder.net import feed as watching
-from zincladder.net.feed import Feed, News, Purge
+from zincladder.net.events import News, Purge
+from zincladder.net.feed import Feed
 
 pytestmark = pytest.mark.anyio
 Stream = anyio.abc.SocketStream
--- a/zincladder/__main__.py
+++ b/zincladder/__main__.py
@@ -36,7 +36,8 @@
 from zincladder.net.caches import Caches
 from zincladder.net.clients import Clients
 from zincladder.net.door import listener
-from zincladder.net.feed import Feed, Listed, News, known_news
+from zincladder.net.events import Listed, News, known_news
+from zincladder.net.feed import Feed
 from zincladder.support.rate_limited_log import RateLimitedLog
 
 if TYPE_CHECKING:
--- a/zincladder/net/feed.py
+++ b/zincladder/net/feed.py
@@ -1,34 +1,22 @@
-"""The coordinator: the list of members and the purges, as numbered events."""
+"""The watch on the coordinator: one connection, made again from the last event on whenever it ends."""
 
 from __future__ import annotations
 
-import ipaddress
 import socket
-import struct
-from collections.abc import Callable, Iterator
-from dataclasses import dataclass
+from collections.abc import Callable
 from random import Random
 from time import monotonic
-from typing import Any
 
 import anyio
 import structlog
 
-from zincladder import interface as api
-from zincladder.config import Address, Config, ConfigError, Node, address
+from zincladder.config import Address
 from zincladder.core.ends import How
 from zincladder.discovery.freshness import Freshness
-from zincladder.net.protocol import STATE_NAMES, STATES
+from zincladder.net.events import Frame, FrameReader, News, read_frame
 from zincladder.net.stream import Ended, Outbox, connect
 from zincladder.support.rate_limited_log import RateLimitedLog
 
-HEAD = struct.Struct(">IQB")
-RECORD = struct.Struct(">I4sHBBBHIQ")
-TWO = struct.Struct(">QQ")
-GROUP = struct.Struct(">HQ")
-NOTHING, WHOLE, CHANGES, OBJECT, OF_GROUP = range(5)
-LENGTH_SIZE = 4  # bytes of the length, which does not count itself
-MOST_FRAME = 1 << 22
 READ_SIZE, MOST_READS = 1 << 16, 16  # bytes of one read, and reads in a row before others have their turn
 LOOK_EVERY = 0.005  # seconds between two looks at what lies unread: far below any grace
 SILENCE = 1.6  # an empty frame follows each second
@@ -38,126 +26,6 @@
 log = structlog.get_logger()
 
 
-@dataclass(frozen=True, slots=True)
-class Frame:
-    """One frame as it came in: the number of the newest event, the kind and what it holds."""
-
-    number: int
-    kind: int
-    payload: bytes
-
-
-@dataclass(frozen=True, slots=True)
-class Listed:
-    """The list, or changes to it, with the members' addresses."""
-
-    whole: bool
-    version: int
-    members: tuple[tuple[api.Member, Address], ...]
-
-
-@dataclass(frozen=True, slots=True)
-class Purge:
-    """A purge of an object, or with none of a whole group, at a Unix time."""
-
-    object: int | None
-    group: int
-    made: float
-
-
-News = Listed | Purge
-
-
-def read_frame(kind: int, number: int, payload: bytes | bytearray) -> News | None:
-    """What one frame tells; None for nothing new."""
-    try:
-        if kind in (WHOLE, CHANGES):
-            if len(payload) % RECORD.size:
-                raise Ended(How.GARBLED, f"a list of {len(payload)} bytes")
-            return Listed(kind == WHOLE, number, tuple(map(_member, RECORD.iter_unpack(payload))))
-        if kind == OBJECT:
-            obj, made = TWO.unpack(payload)
-            return Purge(obj, 0, made / 1000)
-        if kind == OF_GROUP:
-            group, made = GROUP.unpack(payload)
-            return Purge(None, group, made / 1000)
-    except (struct.error, IndexError) as fault:
-        raise Ended(How.GARBLED, f"a frame of kind {kind}: {fault}") from None
-    return None  # kind 0, or one of a newer coordinator
-
-
-def _member(record: tuple[Any, ...]) -> tuple[api.Member, Address]:
-    number, host, port, state, zone, kind, cell, weight, started = record
-    member = api.Member(
-        f"s-{number:08x}".encode(), kind, zone, STATES[state], weight / 1000, cell, started / 1000
-    )
-    return member, (str(ipaddress.IPv4Address(host)), port)
-
-
-def known_news(config: Config) -> tuple[int, list[News]]:
-    """The events of the start, from the configuration; the number of the last one."""
-    top = Node(config.known, "known")
-    last = top.whole("index", 0)
-    found: list[News] = []
-    zones = {name: i for i, name in enumerate(config.names.zones)}
-    kinds = {name: i for i, name in enumerate(config.names.kinds)}
-    for i, raw in enumerate(top.data.get("updates", [])):
-        update = Node(raw, f"known.updates[{i}]")
-        if "evict" in update.data:
-            evict = update.sub("evict")
-            obj = evict.get("ref", lambda v: int(v, 16), "hex digits", None) if "ref" in evict.data else None
-            found.append(Purge(obj, evict.whole("shard", 0), evict.num("unix_ms") / 1000))
-        elif "endpoints" in update.data:
-            lists = update.sub("endpoints")
-            members = []
-            for j, line in enumerate(lists.data.get("endpoints", [])):
-                n = Node(line, f"{lists.at('endpoints')}[{j}]")
-                member = api.Member(
-                    n.text("name").encode(),
-                    n.choice("type", kinds),
-                    n.choice("zone", zones),
-                    n.choice("status", STATE_NAMES),
-                    n.num("weight", 1.0),
-                    n.whole("group", 0),
-                    n.num("since_ms", 0.0) / 1000,
-                )
-                members.append((member, n.get("address", address, "an address", None)))
-            found.append(Listed(lists.flag("snapshot"), update.whole("index", 0), tuple(members)))
-        else:
-            raise ConfigError(f"'{update.path}' holds neither 'endpoints' nor 'evict'")
-    return last, found
-
-
-class FrameReader:
-    """Parses what the coordinator sends: bytes in, events out. No I/O."""
-
-    def __init__(self) -> None:
-        self._buffer = bytearray()
-
-    @property
-    def partial(self) -> bool:
-        """Whether a frame has begun and is not whole."""
-        return bool(self._buffer)
-
-    def take(self, data: bytes | bytearray) -> Iterator[Frame]:
-        """The frames that these bytes complete. `Ended` at one that cannot be read."""
-        self._buffer += data
-        start = 0
-        try:
-            while len(self._buffer) - start >= HEAD.size:
-                length, number, kind = HEAD.unpack_from(self._buffer, start)
-                if not HEAD.size - LENGTH_SIZE <= length <= MOST_FRAME:
-                    raise Ended(How.GARBLED, f"a frame of {length} bytes")
-                end = start + LENGTH_SIZE + length
-                if end > len(self._buffer):
-                    break
-                payload = bytes(self._buffer[start + HEAD.size : end])
-                start = end
-                yield Frame(number, kind, payload)
-        finally:
-            del self._buffer[:start]
-
-
 class Feed:
     """Follows the coordinator from the last known event on, for as long as the front runs."""
 
