Let READY and status ask the one place that knows whether the list is current

Need: READY said yes 1.5 s after the start beside a coordinator that says nothing, while requests waited up to 3 s: at an upgrade the old process would have been ended too early. Readiness asks Freshness; its own bound and Feed.heard are gone. The test gives the times that it gave, with the one bound that is left.

--- a/tests/test_operating_day.py
+++ b/tests/test_operating_day.py
@@ -40,9 +40,10 @@
 from zincladder import interface as api
 from zincladder.config import ConfigError, config_of, renewed, shared
 from zincladder.control.calls import MOST_LINE, Calls, Line
-from zincladder.control.readiness import UNHEARD, Readiness
+from zincladder.control.readiness import Readiness
 from zincladder.core.classes import LEAVING, Classes
 from zincladder.core.figures import MOST_CLASSES, Figures
+from zincladder.discovery.freshness import START_LIMIT, Freshness
 from zincladder.handover.model import MOST_COMPANIONS, Companions, Foreign, Hello, decode
 from zincladder.net.feed import Feed
 
@@ -148,15 +149,25 @@
 
 
 def test_ready_is_no_until_the_coordinator_spoke_and_again_when_it_ends() -> None:
-    state: dict[str, Any] = {"ready": 0, "heard": False, "stopping": False}
-    readiness = Readiness(10.0, lambda: state["ready"], lambda: state["heard"], lambda: state["stopping"])
-    assert "no member" in readiness.lacks(11.0)
+    state: dict[str, Any] = {"ready": 0, "now": 10.0, "stopping": False}
+    fresh = Freshness(grace=0.5)
+    fresh.trying(10.0)
+    readiness = Readiness(
+        lambda: state["ready"], lambda: fresh.settled(state["now"]), lambda: state["stopping"]
+    )
+    assert "no member" in readiness.lacks()
     state["ready"] = 1
-    assert "coordinator" in readiness.lacks(11.0) and not readiness.lacks(10.0 + UNHEARD)
-    state["heard"] = True
-    assert not readiness.lacks(10.0)
+    assert "coordinator" in readiness.lacks()
+    state["now"] = 10.0 + START_LIMIT - 0.01
+    assert "coordinator" in readiness.lacks()
+    state["now"] = 10.0 + START_LIMIT  # one that stalls keeps no front out of service
+    assert not readiness.lacks()
+    heard = Freshness(grace=0.5)
+    heard.trying(10.0)
+    heard.spoke(10.1)
+    assert not Readiness(lambda: 1, lambda: heard.settled(10.1), lambda: False).lacks()
     state["stopping"] = True
-    assert "ending" in readiness.lacks(11.0)
+    assert "ending" in readiness.lacks()
 
 
 # New settings -------------------------------------------------------------------------------------
--- a/zincladder/__main__.py
+++ b/zincladder/__main__.py
@@ -202,12 +202,10 @@
             from zincladder.control.figures import figures
             from zincladder.control.readiness import Readiness
 
-            readiness = Readiness(
-                clock.now(), core.ready, lambda: feed is None or feed.heard, lambda: clients.stopping
-            )
+            readiness = Readiness(core.ready, core.is_settled, lambda: clients.stopping)
             readiness.more = policy.lacks if policy else readiness.more
             calls = Calls(
-                lambda: readiness.lacks(clock.now()),
+                readiness.lacks,
                 lambda: figures(core, policy=policy, duty=worker),
             )
             operators = OperatorAddress(
--- a/zincladder/core/engine.py
+++ b/zincladder/core/engine.py
@@ -178,9 +178,13 @@
                 await self._news_of_fleet.wait()
         return life.final is None
 
+    def is_settled(self) -> bool:
+        """Whether something could be decided since the start: clients may be sent here."""
+        return self.freshness is None or self.freshness.settled(monotonic())
+
     async def settled(self) -> None:
         """Waits until something could be decided for the first time since the start."""
-        while self.freshness is not None and not self.freshness.settled(monotonic()):
+        while self.freshness is not None and not self.is_settled():
             with anyio.move_on_after(self.freshness.wait(monotonic())):
                 await self._news_of_fleet.wait()
 
--- a/zincladder/net/clients.py
+++ b/zincladder/net/clients.py
@@ -349,7 +349,8 @@
             if call.verb == "withdraw":
                 self._withdraw(client, call.number)
             elif call.verb == "status":
-                client.outbox.put(thrift.answer("status", call.seq, b"", {}, self._may_be_chosen()))
+                good = not self.stopping and self._core.is_settled()
+                client.outbox.put(thrift.answer("status", call.seq, b"", {}, good))
             elif call.verb != "handle":
                 if call.kind != thrift.ONEWAY:
                     text = f"no method {call.verb[:40]!r}"
@@ -368,11 +369,6 @@
                 last = call.seq
                 self._take(client, call, came, tasks)
 
-    def _may_be_chosen(self) -> bool:
-        """Whether clients may come here: not at the end, and not before the list is that of the present."""
-        freshness = self._core.freshness
-        return not self.stopping and (freshness is None or freshness.settled(monotonic()))
-
     def _withdraw(self, client: _Client, seq: int) -> None:
         taken = client.open.pop(seq, None)
         if taken is None:  # it crossed the answer, which stands
--- a/zincladder/net/feed.py
+++ b/zincladder/net/feed.py
@@ -42,7 +42,7 @@
         self._random = Random(seed)
         self._coordinator, self.last, self._tell = coordinator, last, tell
         self._freshness, self._changed = freshness or Freshness(0.0), changed
-        self.connected = self.heard = False  # followed now; and at least once
+        self.connected = False  # it is followed now
         self._turn = anyio.CancelScope()
         self._pause = RETRY[0]
         self._warn = RateLimitedLog()
@@ -117,7 +117,7 @@
                 kind=frame.kind,
                 waited_s=round(waited, 3),
             )
-        self.connected = self.heard = True
+        self.connected = True
         news = read_frame(frame.kind, frame.number, frame.payload)
         if news is not None and frame.number > self.last:
             self._tell(news)
