--- a/tests/test_restart_view.py
+++ b/tests/test_restart_view.py
@@ -25,9 +25,23 @@
 
 import anyio
 import anyio.abc
+import dns.message
+import dns.rcode
 import pytest
 
-from tests.stands import Client, Coordinator, Reply, StubCache, World, client, configuration, serve, world
+from tests.stands import (
+    Client,
+    Coordinator,
+    Fetch,
+    Reply,
+    Resolver,
+    StubCache,
+    World,
+    client,
+    configuration,
+    serve,
+    world,
+)
 from tests.test_endings import cores_of
 from tests.test_operating_day import Front, free
 from tests.test_watch import frame, until
@@ -67,6 +81,7 @@
         self.member, self.parent = StubCache("s-00000001", 0), StubCache("s-000000a0", 1)
         self.origin = StubCache("s-000000b0", 2)
         self.may_answer = anyio.Event()
+        self.chosen = False  # whether `status` said yes before the coordinator had answered
         self.coordinator = Coordinator(may_answer=self.may_answer)
 
     @property
@@ -122,6 +137,7 @@
                 c = Client(stream)
                 request = await c.ask(patience="2500")
                 replies = [await status(c) for _ in range(ROUNDS)]
+                fleet.chosen = any(reply.good for reply in replies if reply.seq != request)
                 fleet.may_answer.set()
                 if request not in [reply.seq for reply in replies]:
                     replies.append(await c.reply())
@@ -141,6 +157,7 @@
         folder.mkdir()
         fleet, sent = await first_attempts(folder, change)
         assert sent, name
+        assert not fleet.chosen, name  # clients that look for a front stay away for that long
         if not all(change.kept(fleet, attempt) for attempt in sent):
             by_the_old_list.append(name)
     assert not by_the_old_list
@@ -244,6 +261,53 @@
         assert not member.fetches
 
 
+async def test_a_further_attempt_waits_for_that_answer_too(monkeypatch: pytest.MonkeyPatch) -> None:
+    cores, turn_away = cores_of(monkeypatch), anyio.Event()
+
+    async def full(_: StubCache, fetch: Fetch) -> None:
+        await turn_away.wait()
+        await fetch.answer(503)
+
+    async with world(full, full) as w, client(w) as c:
+        core = await followed(cores)
+        assert core.freshness is not None
+        await c.ask()
+        await until(lambda: any(stub.fetches for stub in w.caches))
+        drained = [stub for stub in w.caches[:-1] if not stub.fetches]  # all but the origin
+        w.coordinator.may_answer = anyio.Event()
+        w.coordinator.events += [(2 + n, 2, stub.record(DRAINING)) for n, stub in enumerate(drained)]
+        core.freshness.grace = 0.0
+        for stream in w.coordinator.streams:
+            await stream.aclose()
+        await until(lambda: core.freshness is not None and core.freshness.wait(monotonic()) > 0)
+        turn_away.set()
+        await until(lambda: core.counts["out_of_date", "held"] == 1)
+        w.coordinator.may_answer.set()
+        assert (await c.reply()).kind == "served"
+        assert not any(stub.fetches for stub in drained)
+
+
+async def test_names_are_asked_for_in_vain_until_the_list_is_current(monkeypatch: pytest.MonkeyPatch) -> None:
+    cores = cores_of(monkeypatch)
+    monkeypatch.setattr(Feed, "run", never_begins)
+    async with world(serve) as w, client(w) as c, anyio.create_task_group() as tasks:
+        assert w.listening.dns
+        resolver, answers = Resolver(w.listening.dns), list[dns.message.Message]()
+
+        async def ask() -> None:
+            answers.append(await resolver.query("papers.main.example.org"))
+
+        tasks.start_soon(ask)
+        for _ in range(ROUNDS):
+            await status(c)
+        assert not answers
+        assert cores[0].freshness is not None
+        cores[0].freshness.spoke(monotonic())
+        cores[0].news_of_fleet()
+        await until(lambda: bool(answers))
+        assert answers[0].rcode() == dns.rcode.NOERROR
+
+
 async def test_a_front_without_a_coordinator_to_be_had_serves_by_what_it_knows() -> None:
     async with world(serve) as w:
         w.coordinator.down = True
@@ -275,7 +339,8 @@
         await c.ask(patience="2000")
         await until(lambda: cores[0].counts["out_of_date", "held"] == 1)
         cores[0].give_up()
-        assert (await c.reply()).kind == "Broken"
+        with anyio.fail_after(0.4):  # it would wait for 0.9 s
+            assert (await c.reply()).kind == "Broken"
 
 
 # The decision itself, with times given -------------------------------------------------------------------
