Let every stand-in of the duties' tests answer as the clients read it

Only the default script answers with the object's id, and only the parent and the origin had it: a cache that is slow is passed by, as it should be, and the client met an answer that it could not read. A fault of the test, not of the program. Change: the parent and the origin answer as the cache does, as in the policy tests.

--- a/tests/test_duties_processes.py
+++ b/tests/test_duties_processes.py
@@ -159,7 +159,11 @@
     """Three keepers, some fronts, traffic at all of them, and an owner that pushes."""
     async with rig(folder, drift) as r, anyio.create_task_group() as tasks:
         receiver = Receiver()
-        caches = [StubCache("s-00000001", 0, marking), StubCache("s-000000a0", 1), StubCache("s-000000b0", 2)]
+        # All say the same: where the cache is slow the front goes straight to the parent or the origin.
+        caches = [
+            StubCache(name, kind, marking)
+            for kind, name in enumerate(("s-00000001", "s-000000a0", "s-000000b0"))
+        ]
         await tasks.start(receiver.run)
         for cache in caches:
             await tasks.start(cache.run)
