Make a client's connection non-blocking before anybody looks at it

A stack of the stuck process: Core.run > Clients._look > _evict > _retire, in recv(MSG_PEEK) of an accepted socket. Cause: accept() gives a blocking socket, and only the connection's own task made it non-blocking (clients.py, _client). A look at it before that task's first step, to make room, halts the process until that client says something. It can come about wherever seats are made free, also without an operator's file once the loop is later than the 0.1 s for which a seat is left alone. Change: Door sets it as it hands the connection on. The other listeners look at a connection in its own task only (read, not changed). The new test fails without the change.

--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -296,6 +296,24 @@
             assert KEY.encode() in await some(newest)  # another one made room
 
 
+async def test_a_connection_that_was_just_taken_can_be_looked_at_without_halting_the_process(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    # Seen: a front with all descriptors in use answered nobody any more, without a line in its log. It stood
+    # in a read of an idle connection that was to make room, and that its own task had not set up yet.
+    blocking: list[bool] = []
+    seat = Clients._seat
+
+    def seated(self: Clients, sock: socket.socket, decision: Any) -> None:
+        blocking.append(os.get_blocking(sock.fileno()))
+        seat(self, sock, decision)
+
+    monkeypatch.setattr(Clients, "_seat", seated)
+    async with world(serve) as w, client(w) as c:
+        await c.ask()
+        assert (await c.reply()).kind == "served" and blocking == [False]
+
+
 async def test_clients_that_do_not_end_their_side_give_their_descriptors_to_who_comes(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
--- a/zincladder/net/clients.py
+++ b/zincladder/net/clients.py
@@ -267,7 +267,6 @@
     async def _client(self, client: _Client) -> None:
         sock = client.sock
         try:
-            sock.setblocking(False)
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             self._core.counts["clients", "accepted"] += 1
             with client.scope:
--- a/zincladder/net/door.py
+++ b/zincladder/net/door.py
@@ -148,6 +148,8 @@
 
     def _judge(self, sock: socket.socket, decision: Decision, now: float) -> None:
         if decision.verdict is Verdict.ADMIT:
+            # Before anybody else sees it: a look at an accepted socket that blocks halts the whole process.
+            sock.setblocking(False)
             self._seat(sock, decision)
         elif decision.verdict is TURN_AWAY:
             turn_away(sock)
