Diagnose work sent on after its client had left, and log what could not be told

Need: the evidence fits six ways in which an attempt can reach a member too late, and no log line tells them apart. The fronts' behaviour is unchanged.

--- a/zincladder/core/engine.py
+++ b/zincladder/core/engine.py
@@ -36,6 +36,7 @@
 TICK = 0.01
 HELD_PART = 0.45  # of its time for which a request waits for a current list: a refusal is dear past half
 HELD_ATTEMPT = 0.2  # seconds for which a further attempt does: below the patience that judges its member
+HALT = 0.1  # seconds by which one turn of the event loop is late enough to be logged
 READ_AGAIN = 0.05  # seconds after which a client may repeat what was read under rules that are over
 log = structlog.get_logger()
 
@@ -231,11 +232,26 @@
             rules = self.classes.rules[life.ask.klass]
             if rules.effect is api.Effect.KEYED and end.result not in NEVER_RAN:
                 life.repeat_by = min(life.repeat_by, sent_at + rules.window)
+            if end.how is How.TOO_LATE:
+                self._log_too_late(order, end, sent_at)
             if served:
                 life.final = Answer("served", end)
             # Every further point of choice: another attempt, a refusal, a failure, or waiting on.
             self._tell(self._ended(number, n, order, end, sent_at, served))
 
+    def _log_too_late(self, order: Order, end: End, sent_at: float) -> None:
+        """Tells an attempt that a member found over from one that this front was too late for."""
+        now = self.clock.now()
+        self._lines.warning(
+            "attempt was over before it ran",
+            why=end.why or "the member's word",
+            trace=order.ask.trace,
+            member=order.member.decode("latin-1"),
+            decided_s_ago=round(now - sent_at, 3),
+            client_has_s=round(order.ask.due - now, 3),
+            behind=round(self.behind, 3),
+        )
+
     async def _news(self, life: Life) -> bool:
         """Waits for the end of an attempt or for an answer; False when there is none to wait for."""
         life.news = anyio.Event()
@@ -496,6 +512,8 @@
                     await anyio.sleep(TICK)
                     late, last = self.clock.now() - before - TICK, late
                     self.behind = min(late, last)  # once is a moment's halt, twice in a row is too much work
+                    if late > HALT:
+                        self._lines.warning("event loop late", late_s=round(late, 3), open=len(self.lives))
 
     async def _probe(self, member: api.MemberId) -> None:
         started = self.clock.now()
