--- /dev/null
+++ b/tests/test_stalled_front.py
@@ -0,0 +1,206 @@
+"""A front process that is stopped again and again while clients with little patience come in bursts.
+
+One seed is one history of stops on a real process. The members judge, by what reaches them and by what each
+client has done until then. `STALL_SEEDS=50` plays more of them by hand.
+"""
+
+from __future__ import annotations
+
+import json
+import os
+import signal
+from dataclasses import dataclass, field
+from enum import Enum
+from pathlib import Path
+from random import Random
+from time import monotonic
+
+import anyio
+import anyio.abc
+import pytest
+
+from tests.stands import Client, Fetch, StubCache, configuration
+from tests.test_operating_day import Front, free
+
+pytestmark = pytest.mark.anyio
+SEEDS = range(int(os.environ.get("STALL_FROM", "0")), int(os.environ.get("STALL_SEEDS", "1")))
+BEGIN_SLACK = 0.1  # seconds after a client has gone, or its time is over, in which an attempt may still begin
+LIMIT_SLACK = 0.15  # seconds by which the time that a member is told may pass what the client has left
+ANSWER_SLACK = 0.5  # seconds by which an answer may be late
+CONNECTIONS, REQUESTS_EACH, ROUNDS = 6, 10, 8
+STOP_AFTER = (0.0, 0.05)  # seconds from the begin of a burst to a stop
+STOP_FOR = (0.15, 0.6)
+PATIENCE = (0.15, 1.0)
+
+
+class Leaving(Enum):
+    """What a client does whose time is over."""
+
+    STAYS = "stays"
+    WITHDRAWS = "withdraws"
+    CLOSES = "closes its connection"
+
+
+@dataclass
+class Asked:
+    """One request, as its client knows of it; times are seconds of the monotonic clock."""
+
+    trace: str
+    written: float
+    patience: float
+    leaving: Leaving
+    gone_at: float | None = None  # when its client withdrew it or closed the connection
+    answers: int = 0
+    answered_at: float = 0.0
+
+    @property
+    def over(self) -> float:
+        """When its client waits no longer."""
+        by_time = self.written + self.patience
+        return by_time if self.gone_at is None else min(by_time, self.gone_at)
+
+
+@dataclass
+class Judge:
+    """Knows every request, and looks at each attempt that reaches a member."""
+
+    asked: dict[str, Asked] = field(default_factory=dict)
+    attempts: int = 0
+    broken: list[str] = field(default_factory=list)
+    lag: float = 0.0  # by which this process's own loop was late lately
+
+    async def measure(self) -> None:
+        """Keeps `lag`: what is seen late here is not the front's."""
+        while True:
+            before = monotonic()
+            await anyio.sleep(0.005)
+            self.lag = max(0.9 * self.lag, monotonic() - before - 0.005)
+
+    def came(self, to: str, fetch: Fetch) -> None:
+        now, request = monotonic(), self.asked[fetch.name]
+        self.attempts += 1
+        late = now - self.lag - request.over
+        told = int(fetch.fields["limit"]) / 1000
+        if late > BEGIN_SLACK:
+            how = request.leaving.value if request.gone_at is not None else "its time was over"
+            self.broken.append(
+                f"{to} got {fetch.name} {late:.3f} s after its client was gone ({how}), with {told:.3f} s"
+            )
+        left = request.written + request.patience - (now - self.lag)
+        if told > max(0.0, left) + LIMIT_SLACK:
+            self.broken.append(f"{to} was told {told:.3f} s for {fetch.name}, its client had {left:.3f}")
+
+
+class History:
+    """What one seed does to a front, and what came of it."""
+
+    def __init__(self, seed: int, folder: Path) -> None:
+        self.random, self.judge = Random(seed), Judge()
+        self.caches = [StubCache(f"s-{n:08x}", 0, self.member) for n in range(1, 5)]
+        self.stubs = [*self.caches, StubCache("s-000000a0", 1, self.member)]
+        self.stubs.append(StubCache("s-000000b0", 2, self.member))
+        self.where = ("127.0.0.1", free())
+        self.folder = folder
+
+    async def member(self, stub: StubCache, fetch: Fetch) -> None:
+        """Serves most, lacks or refuses some at once, keeps some waiting, and closes connections at times."""
+        self.judge.came(stub.name, fetch)
+        drawn = self.random.random()
+        if drawn < 0.3:
+            await anyio.sleep(self.random.uniform(0.02, 0.4))
+        if drawn < 0.15:
+            await fetch.answer(503)
+        elif drawn < 0.5:
+            await fetch.answer(404)
+        elif drawn < 0.6:
+            await fetch.stream.aclose()
+        else:
+            await fetch.answer(200, "tell=local,rev=aa,since=1", fetch.fields["item"].encode())
+
+    async def burst(self) -> None:
+        async with anyio.create_task_group() as tasks:
+            for _ in range(CONNECTIONS):
+                tasks.start_soon(self.client)
+
+    async def client(self) -> None:
+        """One connection: its requests at once, then each one's end."""
+        leaving = self.random.choice(list(Leaving))
+        try:
+            async with await anyio.connect_tcp(*self.where) as stream:
+                c, mine = Client(stream), dict[int, Asked]()
+                async with anyio.create_task_group() as tasks:
+                    tasks.start_soon(self.answers, c, mine)
+                    for _ in range(REQUESTS_EACH):
+                        await self.ask(c, leaving, mine)
+                    await self.leave(c, mine)
+                    tasks.cancel_scope.cancel()
+        except* (OSError, anyio.EndOfStream, anyio.BrokenResourceError):
+            pass  # the front may end a connection on which nothing is open
+
+    async def ask(self, c: Client, leaving: Leaving, mine: dict[int, Asked]) -> None:
+        trace = f"{self.random.getrandbits(60):016x}"
+        patience = round(self.random.uniform(*PATIENCE), 3)
+        request = self.judge.asked[trace] = Asked(trace, monotonic(), patience, leaving)
+        entity = f"{self.random.getrandbits(48):016x}"
+        seq = await c.ask(trace=trace, entity=entity, patience=str(round(patience * 1000)))
+        request.written = monotonic()
+        mine[seq] = request
+
+    async def answers(self, c: Client, mine: dict[int, Asked]) -> None:
+        while True:
+            reply = await c.reply()
+            request = mine[reply.seq]
+            request.answers, request.answered_at = request.answers + 1, monotonic()
+
+    async def leave(self, c: Client, mine: dict[int, Asked]) -> None:
+        for seq, request in sorted(mine.items(), key=lambda item: item[1].over):
+            await anyio.sleep(max(0.0, request.over - monotonic()))
+            if request.answers or request.leaving is Leaving.STAYS:
+                continue
+            request.gone_at = monotonic()
+            if request.leaving is Leaving.WITHDRAWS:
+                await c.withdraw(seq)
+                continue
+            for other in mine.values():
+                other.gone_at = other.gone_at or monotonic()
+            return
+        await anyio.sleep(ANSWER_SLACK + STOP_FOR[1])
+
+    async def stop(self, front: Front) -> None:
+        await anyio.sleep(self.random.uniform(*STOP_AFTER))
+        front.process.send_signal(signal.SIGSTOP)
+        await anyio.sleep(self.random.uniform(*STOP_FOR))
+        front.process.send_signal(signal.SIGCONT)
+
+    async def play(self) -> None:
+        async with anyio.create_task_group() as tasks:
+            for stub in self.stubs:
+                await tasks.start(stub.run)
+            tasks.start_soon(self.judge.measure)
+            listed = [stub.member() for stub in self.stubs]
+            front = Front(self.folder, configuration(listed, listen=f"{self.where[0]}:{self.where[1]}"))
+            try:
+                await front.until(front.ready)
+                for _ in range(ROUNDS):
+                    async with anyio.create_task_group() as round_:
+                        round_.start_soon(self.burst)
+                        for _ in range(3):
+                            await self.stop(front)
+            finally:
+                front.process.kill()
+                front.process.wait()
+            tasks.cancel_scope.cancel()
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+async def test_no_stop_of_the_process_sends_work_on_for_clients_that_are_gone(
+    seed: int, tmp_path: Path
+) -> None:
+    history = History(seed, tmp_path)
+    await history.play()
+    judge = history.judge
+    logs = [json.loads(line) for log in sorted(tmp_path.glob("log*")) for line in log.open()]
+    assert not judge.broken, "\n".join([*judge.broken, *map(str, logs)])
+    assert judge.attempts > 100
+    assert all(request.answers <= 1 for request in judge.asked.values())
+    assert not [line for line in logs if line["level"] == "error"], logs
