Give a client that connected right before the stop the time to send its first request

Seen: an_upgrade_loses_no_connection failed in 2 of 61 runs and 2 of 48 beside 16 busy processes and 6 test workers, output kept; traced: a connection was ended in order, with nothing on it, 2 and 9 ms after its connect. Cause: when the listener closes, Clients._reader and _empty retire every connection on which nothing is open, also one that was taken in that moment and whose client has not had its turn to speak. Change: one that has not spoken is left alone for the 0.1 s for which a seat is left alone elsewhere.

--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -25,6 +25,7 @@
 from zincladder.config import config_of
 from zincladder.core.engine import Clock, Core
 from zincladder.net import caches as cache_side
+from zincladder.net import clients as client_side
 from zincladder.net import thrift
 from zincladder.net.caches import Caches
 from zincladder.net.clients import Clients, _Client
@@ -268,6 +269,30 @@
             assert [f.name for f in w.caches[0].fetches] == [f"{1:016x}"]
 
 
+async def test_a_client_that_connected_right_before_the_stop_can_still_send_its_first_request(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    # Seen at an upgrade: a connection taken in the last moment was ended before its client had spoken.
+    monkeypatch.setattr(client_side, "STAY", 0.0)
+    monkeypatch.setattr(client_side, "SETTLED", 60.0)
+    looks = [0]
+    retire = Clients._retire_at_stop
+
+    def counted(self: Clients, client: _Client) -> bool:
+        looks[0] += 1
+        return retire(self, client)
+
+    monkeypatch.setattr(Clients, "_retire_at_stop", counted)
+    async with world(serve) as w:
+        with plain(w) as sock:
+            w.stopping.set()
+            with anyio.fail_after(5):
+                while looks[0] < 3:
+                    await anyio.sleep(0.001)
+            sock.sendall(frame("status", 1, b"\x02\0\1\1"))
+            assert len(await some(sock)) > 4
+
+
 async def test_a_connection_chosen_to_make_room_stays_when_its_request_has_come(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
--- a/zincladder/net/clients.py
+++ b/zincladder/net/clients.py
@@ -19,6 +19,7 @@
 from zincladder import interface as api
 from zincladder.admission.interface import Admission
 from zincladder.admission.model import Act, Decision, Seat, Why
+from zincladder.admission.seats import SETTLED
 from zincladder.config import Config
 from zincladder.core.attempt import Ask
 from zincladder.core.ends import How
@@ -159,7 +160,7 @@
         """Closes connections as they fall idle, until none is left or its time is up."""
         while self._clients and monotonic() < until:
             for client in list(self._clients.values()):
-                self._retire(client)
+                self._retire_at_stop(client)
             await anyio.sleep(RETIRING)
 
     async def stop(self, stopping: anyio.Event) -> None:
@@ -197,6 +198,12 @@
         client.end(linger)
         return True
 
+    def _retire_at_stop(self, client: _Client) -> bool:
+        """`_retire`, but a client that has just connected gets the time to send its first request."""
+        if not client.spoke and monotonic() - client.since < SETTLED:
+            return False
+        return self._retire(client)
+
     def _seat(self, sock: socket.socket, decision: Decision) -> None:
         now = monotonic()
         seat = self._admission.seat(decision, now)
@@ -319,7 +326,7 @@
             turn += 1
             if turn % TURN == 0:
                 await anyio.lowlevel.checkpoint()
-            if self._accepting.cancel_called and self._retire(client):
+            if self._accepting.cancel_called and self._retire_at_stop(client):
                 # Guards a client that comes again as soon as it is refused: when the loop is late, the next
                 # look from outside would always find its next request.
                 return
