Look at the clock, at what is called off and at unread withdrawals just before a first byte

Cause: Core.hold, the last look before an attempt's first byte, asked for the client's end, the repeat window, purges and drains, and not for the time. A timer (the attempt's scope), a cancellation (an answer given meanwhile) and a withdrawal (the reader's turn) come when the event loop gets round to them; a connection that came up in the same turn goes first. Change: the last look compares the clock, knows what has been called off, and finds a withdrawal in what lies unread, here or in the system. Ruled out by reading: the router's own check of the time (decide.py, _place), which stands at the decision.

--- a/tests/test_late_attempts.py
+++ b/tests/test_late_attempts.py
@@ -21,52 +21,123 @@
 import pytest
 
 from tests.stands import SETTINGS, client, serve, world
-from tests.test_endings import cores_of, on_connect, plain, request
-from zincladder.core.engine import Core
+from tests.test_endings import cores_of, frame, on_connect, plain, request
+from tests.test_front import cut
+from zincladder.core.engine import LEAST_TIME, Core
 from zincladder.net import thrift
 
 pytestmark = pytest.mark.anyio
-PATIENCE = 0.3  # seconds of the request that is not to be sent
+PATIENCE = 1.0  # seconds of the request that is not to be sent
 NO_PROBES = SETTINGS | {"ceilings": SETTINGS["ceilings"] | {"probes": False}}  # only attempts connect
 Act = Callable[[Core, socket.socket], None]
 
 
+# What comes between the decision and the first byte ---------------------------------------------------
+
+
 def its_time_runs_out(core: Core, _: socket.socket) -> None:
     core.clock._offset += PATIENCE
 
 
+def less_is_left_than_a_member_can_be_told(core: Core, _: socket.socket) -> None:
+    (life,) = core.lives.values()
+    core.clock._offset += life.ask.due - core.clock.now() - LEAST_TIME / 2
+
+
+def it_is_answered_and_called_off(core: Core, _: socket.socket) -> None:
+    core.give_up()
+
+
 def withdrawal(seq: int) -> bytes:
     message = thrift._message(thrift.ONEWAY, "withdraw", 9) + b"\x08\0\1" + struct.pack(">i", seq) + b"\0"
     return struct.pack(">i", len(message)) + message
 
 
+STATUS = frame("status", 2, b"\x02\0\1\1")
+
+
 def it_is_withdrawn(_: Core, sock: socket.socket) -> None:
     sock.sendall(withdrawal(1))
 
 
-async def sent_after(act: Act, monkeypatch: pytest.MonkeyPatch) -> list[str]:
-    """The attempts that reach a member where `act` happens as the connection for the first has come up."""
+def it_is_withdrawn_behind_another_message(_: Core, sock: socket.socket) -> None:
+    sock.sendall(STATUS + withdrawal(1))
+
+
+def another_is_withdrawn(_: Core, sock: socket.socket) -> None:
+    sock.sendall(withdrawal(7))
+
+
+async def sent_after(
+    act: Act, monkeypatch: pytest.MonkeyPatch, attempt: int = 1, behind: bytes = b""
+) -> list[str]:
+    """What reaches members where `act` happens as the connection for that attempt has come up.
+
+    `behind` is sent right behind the request, and is read before.
+    """
     cores, waiting = cores_of(monkeypatch), list[socket.socket]()
-    on_connect(monkeypatch, lambda _: act(cores[0], waiting.pop()) if waiting else None)
-    async with world(serve, serve, settings=NO_PROBES) as w, client(w) as stays:
+    on_connect(monkeypatch, lambda made: act(cores[0], waiting.pop()) if made == attempt else None)
+    script = cut if attempt == 2 else serve
+    async with world(script, script, settings=NO_PROBES) as w:
         with plain(w) as sock:
             waiting.append(sock)
-            sock.sendall(request(1, patience=str(round(PATIENCE * 1000))))
+            sock.sendall(request(1, patience=str(round(PATIENCE * 1000))) + behind)
             with anyio.fail_after(5):
                 while waiting:
                     await anyio.sleep(0.001)
-        await stays.ask(trace="f" * 16)
-        assert (await stays.reply()).kind == "served"
+            for stub in w.caches:
+                stub.script = serve
+            with anyio.fail_after(5):
+                while cores[0].lives:
+                    await anyio.sleep(0.001)
+        async with client(w) as other:  # once it is served, the stubs have read what was sent before
+            await other.ask(trace="f" * 16)
+            assert (await other.reply()).kind == "served"
         return [fetch.name for stub in w.caches for fetch in stub.fetches if fetch.name != "f" * 16]
 
 
-async def test_an_attempt_whose_time_ran_out_while_its_connection_came_up_is_not_sent(
-    monkeypatch: pytest.MonkeyPatch,
+@pytest.mark.parametrize("attempt", [1, 2])
+@pytest.mark.parametrize(
+    "act",
+    [
+        its_time_runs_out,
+        less_is_left_than_a_member_can_be_told,
+        it_is_answered_and_called_off,
+        it_is_withdrawn,
+        it_is_withdrawn_behind_another_message,
+    ],
+)
+async def test_an_attempt_that_is_over_when_its_connection_has_come_up_is_not_sent(
+    act: Act, attempt: int, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    assert await sent_after(its_time_runs_out, monkeypatch) == []
+    assert await sent_after(act, monkeypatch, attempt) == [f"{1:016x}"] * (attempt - 1)
 
 
-async def test_an_attempt_whose_client_withdrew_it_while_its_connection_came_up_is_not_sent(
-    monkeypatch: pytest.MonkeyPatch,
+@pytest.mark.parametrize("part", [2, 13], ids=["in its length", "in its text"])
+async def test_a_withdrawal_behind_the_rest_of_a_message_is_found(
+    part: int, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    assert await sent_after(it_is_withdrawn, monkeypatch) == []
+    def the_rest_comes(_: Core, sock: socket.socket) -> None:
+        sock.sendall(STATUS[part:] + withdrawal(1))
+
+    assert await sent_after(the_rest_comes, monkeypatch, behind=STATUS[:part]) == []
+
+
+async def test_the_withdrawal_of_another_request_holds_none_back(monkeypatch: pytest.MonkeyPatch) -> None:
+    assert await sent_after(another_is_withdrawn, monkeypatch) == [f"{1:016x}"]
+
+
+@pytest.mark.parametrize(
+    ("unread", "start", "found"),
+    [
+        (withdrawal(3) + withdrawal(4), 0, [3, 4]),
+        (b"rest" + withdrawal(3), 4, [3]),
+        (withdrawal(3)[:-1], 0, []),  # not whole
+        (STATUS + b"\0\0", 0, []),
+        (b"\xff\xff\xff\xff" + withdrawal(3), 0, []),  # nothing behind it can be read
+        (struct.pack(">i", 20) + b"\0" * 8 + b"withdraw" + b"\0" * 4 + withdrawal(3), 0, []),
+        (b"", 40, []),
+    ],
+)
+def test_withdrawals_are_found_in_whole_messages_only(unread: bytes, start: int, found: list[int]) -> None:
+    assert list(thrift.withdrawn(unread, start)) == found
--- a/tests/test_member_links.py
+++ b/tests/test_member_links.py
@@ -249,6 +249,8 @@
 @pytest.mark.parametrize(
     ("hold", "how", "note"),
     [
+        (Hold.CALLED_OFF, How.CALLED_OFF, api.Note.NONE),
+        (Hold.TIME_OVER, How.TOO_LATE, api.Note.NONE),
         (Hold.CLIENT_LEFT, How.CALLED_OFF, api.Note.NONE),
         (Hold.WINDOW_OVER, How.TOO_LATE, api.Note.NONE),
         (Hold.PURGED, How.NOT_WRITTEN, api.Note.NONE),
--- a/zincladder/core/attempt.py
+++ b/zincladder/core/attempt.py
@@ -33,6 +33,8 @@
 class Hold(Enum):
     """Why an attempt may not begin any more; the first that holds is told."""
 
+    CALLED_OFF = "it was called off"
+    TIME_OVER = "its time is over"
     CLIENT_LEFT = "its client has left"
     WINDOW_OVER = "its repeats are no longer dropped"
     PURGED = "its object was purged while it waited to be written"
@@ -92,6 +94,7 @@
     until: float = 0.0  # when the wait for it ends
     begin_by: float = math.inf  # its first byte goes before this: repeats are dropped for that long only
     oldest: float | None = None  # the oldest copy that its fields allow; None until they are written down
+    called_off: bool = False  # its cancellation may still wait for its turn of the event loop
     guard: Guard = NO_GUARD
 
     def hold(self) -> Hold | None:
--- a/zincladder/core/engine.py
+++ b/zincladder/core/engine.py
@@ -34,6 +34,7 @@
 # Seconds between two looks at the timers, of which each request sets one. A wait of its own for each took a
 # fifth of the time on a wide day: the event loop counts whole milliseconds and went round until it was due.
 TICK = 0.01
+LEAST_TIME = 0.001  # seconds: a member can be told no less
 HELD_PART = 0.45  # of its time for which a request waits for a current list: a refusal is dear past half
 HELD_ATTEMPT = 0.2  # seconds for which a further attempt does: below the patience that judges its member
 HALT = 0.1  # seconds by which one turn of the event loop is late enough to be logged
@@ -88,6 +89,12 @@
         return time.monotonic() + self._offset
 
 
+def _call_off(order: Order, scope: anyio.CancelScope) -> None:
+    """Gives an attempt up; one that is about to begin sees it without a turn of the event loop."""
+    order.called_off = True
+    scope.cancel()
+
+
 class Core:
     """One Router and all that it needs to act."""
 
@@ -278,7 +285,7 @@
         if life.inline and life.inline[0] != n:  # a second copy; the request's own task waits for another
             self._take_ends(number, life)
             if life.final is not None:
-                life.inline[2].cancel()
+                _call_off(*life.inline[1:])
         life.news.set()
 
     async def _carried(self, life: Life, order: Order) -> End:
@@ -293,7 +300,7 @@
             self.counts["answers", "withdrawn"] += 1
             self._notify(api.ClientLeft(number))
         for n, (order, scope, sent_at) in life.out.items():
-            scope.cancel()  # second copies that are still out, or all where the client left
+            _call_off(order, scope)  # second copies that are still out, or all where the client left
             self._notify(self._ended(number, n, order, End(How.CALLED_OFF), sent_at, True))
 
     def steer(self, ask: Ask) -> api.MemberId | None:
@@ -411,7 +418,7 @@
             case api.Cancel(request, attempt):
                 life = self.lives.get(request)
                 if life and attempt in life.out:
-                    life.out[attempt][1].cancel()
+                    _call_off(*life.out[attempt][:2])
             case api.Refuse(request, retry_after):
                 self._finish(request, Answer("refused", retry_after=retry_after))
             case api.Fail(request):
@@ -433,7 +440,7 @@
             life.final = answer
             life.news.set()
             if life.inline:
-                life.inline[2].cancel()
+                _call_off(*life.inline[1:])
 
     def _send(self, action: api.Get | api.Look) -> None:
         life = self.lives[action.request]
@@ -460,10 +467,16 @@
 
     def hold(self, order: Order) -> Hold | None:
         """Why an attempt may not begin at this moment; `None` where it may."""
+        # Timers and cancellations come late where the event loop does, so both are asked for here.
+        if order.called_off:
+            return Hold.CALLED_OFF
+        now = self.clock.now()
+        if now > order.until - LEAST_TIME:
+            return Hold.TIME_OVER
         self.look_at_news()
         if not order.ask.wanted():
             return Hold.CLIENT_LEFT
-        if self.clock.now() >= order.begin_by:
+        if now >= order.begin_by:
             return Hold.WINDOW_OVER
         if order.oldest is not None and 0 < self.oldest_copy(order) < (order.oldest or math.inf):
             return Hold.PURGED
--- a/zincladder/net/caches.py
+++ b/zincladder/net/caches.py
@@ -197,6 +197,8 @@
 
 
 HELD_BACK = {
+    Hold.CALLED_OFF: How.CALLED_OFF,
+    Hold.TIME_OVER: How.TOO_LATE,
     Hold.CLIENT_LEFT: How.CALLED_OFF,
     Hold.WINDOW_OVER: How.TOO_LATE,
     Hold.PURGED: How.NOT_WRITTEN,
--- a/zincladder/net/clients.py
+++ b/zincladder/net/clients.py
@@ -27,7 +27,7 @@
 from zincladder.net import protocol, thrift
 from zincladder.net.door import Door
 from zincladder.net.protocol import BadFields
-from zincladder.net.stream import Ended, Inbox, Outbox, left
+from zincladder.net.stream import Ended, Inbox, Outbox, unread
 from zincladder.support.lingering import AT_ONCE, LINGER, lingering_close
 from zincladder.support.rate_limited_log import RateLimitedLog
 
@@ -39,6 +39,7 @@
 IDLE = 5.0  # without a request; clients close after 4 s, and one that keeps its connection is closed here
 SWEEP = 0.2  # seconds between two looks at these
 MEASURE = 1.0  # seconds between two measurements of what the loop costs
+FRAME_HEAD = 4  # bytes that tell a message's length
 TURN = 32  # messages of one client taken before the other tasks have their turn
 STAY = 0.65  # after SIGTERM clients go on coming for 0.6 s; what comes 0.7 s after it may not stay unanswered
 # SIGKILL comes 0.7 s after the longest deadline, counted as 3 s where it is longer. What is open a little
@@ -54,6 +55,7 @@
 class _Taken:
     """One request that was taken from a client."""
 
+    seq: int
     ask: Ask
     scope: anyio.CancelScope = field(default_factory=anyio.CancelScope)
     begun: bool = False
@@ -88,8 +90,18 @@
             self.scope.cancel()
 
     def waits(self, taken: _Taken) -> bool:
-        """Whether the client still waits for this request, as its system and what was read say now."""
-        if not self.ended and left(self.sock):
+        """Whether the client still waits for this request, as its system and what was read say now.
+
+        What it said last may lie unread: the reader's turn comes late where the event loop is late.
+        """
+        if self.ended or taken.back:
+            return False
+        lies = unread(self.sock)
+        here = self.inbox.held()
+        if (lies.data or here) and taken.seq in thrift.withdrawn(here + lies.data, self.inbox.lacking):
+            taken.back = True
+            taken.scope.cancel()
+        if lies.ended:
             self.end()
         return not (self.ended or taken.back)
 
@@ -339,7 +351,8 @@
                 await client.turn.wait()
             client.frame_at, came = monotonic(), self._core.clock.now()
             came -= client.frame_at - now
-            size = int.from_bytes(await inbox.exactly(4), "big")
+            await inbox.some(FRAME_HEAD)  # looks ahead of the reader begin at a whole head
+            size = int.from_bytes(await inbox.exactly(FRAME_HEAD), "big")
             if not 0 < size <= thrift.MOST_FRAME:
                 raise Ended(How.GARBLED, f"a frame of {size} bytes")
             frame = await inbox.exactly(size)
@@ -416,7 +429,7 @@
             client.outbox.put(_reply(call.seq, Answer("refused", retry_after=pause)))
             return
         self._admission.opened(client.seat)
-        taken = client.open[call.seq] = _Taken(ask)
+        taken = client.open[call.seq] = _Taken(call.seq, ask)
         ask.wanted = partial(client.waits, taken)
         self._traces.add(ask.trace)
         tasks.start_soon(self._request, client, call.seq, ask, taken)
--- a/zincladder/net/stream.py
+++ b/zincladder/net/stream.py
@@ -8,7 +8,7 @@
 import socket
 from collections import deque
 from collections.abc import Callable, Sequence
-from typing import Protocol
+from typing import NamedTuple, Protocol
 
 import anyio
 
@@ -18,6 +18,8 @@
 FIRST_BUFFER = 8192
 STEP = 1 << 16  # room made for a body that has not come yet
 MOST_PARTS = 64  # of one gathered write; the system takes 1,024
+LOOK = 1 << 16  # bytes that a look at what lies unread sees
+_PEEKED = bytearray(LOOK)
 GONE = (errno.ECONNRESET, errno.EPIPE, errno.ETIMEDOUT, errno.EBADF, errno.ENOTCONN, errno.ECONNABORTED)
 
 
@@ -38,6 +40,7 @@
         self._start = self._end = 0
         self._drained = False
         self.received = 0
+        self.lacking = 0  # bytes of what `exactly` waits for that have not come
 
     def buffered(self) -> int:
         return self._end - self._start
@@ -87,11 +90,15 @@
         with memoryview(self._buffer) as view:
             self._end += await self._recv(view[self._end :], patience)
 
-    async def some(self) -> None:
-        """Waits until a byte is here and takes none: cancelling it loses nothing."""
-        if not self.buffered():
+    async def some(self, size: int = 1) -> None:
+        """Waits until so many bytes are here and takes none: cancelling it loses nothing."""
+        while self.buffered() < size:
             await self._more(FIRST_BUFFER)
 
+    def held(self) -> bytes:
+        """What is here and was not taken yet."""
+        return bytes(memoryview(self._buffer)[self._start : self._end])
+
     async def line(self, most: int, patience: float = math.inf) -> bytes:
         """The next line without its CR LF; `patience` is for a stretch without a byte."""
         seen = 0
@@ -116,7 +123,9 @@
             body.extend(bytes(min(size - have, max(STEP, have))))
             with memoryview(body) as view:
                 while have < len(body):
+                    self.lacking = size - have
                     have += await self._recv(view[have:], patience)
+        self.lacking = 0
         return body
 
 
@@ -301,21 +310,34 @@
             self._flush()
 
 
-def left(sock: socket.socket) -> bool:
-    """Whether the peer has ended its side of the connection, asked of the system and not of what was read.
+class Unread(NamedTuple):
+    """What the system holds of a connection that was not read yet."""
+
+    data: bytes  # the first LOOK of it
+    ended: bool  # whether the peer has ended its side
+
+
+def unread(sock: socket.socket, most: int = LOOK) -> Unread:
+    """What lies unread, asked of the system and not of what was read. Nothing is taken from the socket.
 
-    With bytes unread before that end only RDHUP tells of it. Nothing is taken from the socket.
+    With bytes unread before the peer's end only RDHUP tells of it.
     """
     try:
-        if not sock.recv(1, socket.MSG_PEEK):
-            return True
+        got = sock.recv_into(_PEEKED, most, socket.MSG_PEEK)
     except (BlockingIOError, InterruptedError):
-        return False
+        return Unread(b"", False)
     except OSError:
-        return True
+        return Unread(b"", True)
+    if not got:
+        return Unread(b"", True)
     asked = select.poll()
     asked.register(sock, select.POLLRDHUP)
-    return bool(asked.poll(0))
+    return Unread(bytes(memoryview(_PEEKED)[:got]), bool(asked.poll(0)))
+
+
+def left(sock: socket.socket) -> bool:
+    """Whether the peer has ended its side of the connection, as the system knows it."""
+    return unread(sock, 1).ended
 
 
 def family(host: str) -> socket.AddressFamily:
--- a/zincladder/net/thrift.py
+++ b/zincladder/net/thrift.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import struct
-from collections.abc import Mapping
+from collections.abc import Iterator, Mapping
 from dataclasses import dataclass
 
 VERSION, VERSION_MASK = 0x80010000, 0xFFFF0000
@@ -28,6 +28,7 @@
 _FIXED = {BOOL: 1, BYTE: 1, DOUBLE: 8, I16: 2, I32: 4, I64: 8}
 _I32, _HEAD = struct.Struct(">i"), struct.Struct(">Ii")
 _MAP = struct.Struct(">BBi")
+WITHDRAW, _VERB_AT = b"withdraw", 8  # the verb's text stands behind the version and its own length
 
 
 class Malformed(Exception):
@@ -126,6 +127,24 @@
     return Call(verb, version & 0xFF, seq, fields, body, number)
 
 
+def withdrawn(unread: bytes | bytearray, start: int) -> Iterator[int]:
+    """The requests that whole `withdraw` messages in these bytes name; the first frame begins at `start`.
+
+    Looks ahead of the reader, to whom all else is left, also what cannot be read.
+    """
+    at = start
+    while len(unread) - at >= _I32.size:
+        size = int(_I32.unpack_from(unread, at)[0])
+        first, at = at + _I32.size, at + _I32.size + size
+        if not 0 < size <= MOST_FRAME or at > len(unread):
+            return
+        if unread[first + _VERB_AT : first + _VERB_AT + len(WITHDRAW)] == WITHDRAW:
+            try:
+                yield read_call(unread[first:at]).number
+            except Malformed:
+                return
+
+
 def _text(text: str) -> bytes:
     data = text.encode()
     return _I32.pack(len(data)) + data
