Count a request's time from when it came in, not from when it was read

A process that stood still, a late event loop, a reader that is kept from reading and a full front's listener queue all let a request lie unread; Clients._reader took the time of reading for that of sending. Change: core/arrival.py (no I/O) bounds when a message can have come in, by the loop's turns and by when its reader last found nothing. Within 50 ms it counts as read at once, as before. Else the system's own word counts (TCP_INFO, age of the newest byte) where the message is the newest, or the longest possible time. Log line 'request lay unread'.

--- a/benchmarks/difference.py
+++ b/benchmarks/difference.py
@@ -29,6 +29,7 @@
 from zincladder import interface as api
 from zincladder.config import config_of
 from zincladder.core import engine
+from zincladder.core.arrival import ArrivalBound
 from zincladder.decide import Router
 
 PATIENCE = 5.0  # seconds that a client waits: longer than any wait here
@@ -83,7 +84,8 @@
     prompt = mock.patch.object(
         engine.Core, "behind", property(lambda _: 0.0, lambda _, late: None), create=True
     )
-    with mock.patch.object(engine, "Router", Recording), held, prompt:
+    at_once = mock.patch.object(ArrivalBound, "age", lambda *_: 0.0)  # real time has no part in the history
+    with mock.patch.object(engine, "Router", Recording), held, prompt, at_once:
         yield
 
 
--- a/tests/test_late_attempts.py
+++ b/tests/test_late_attempts.py
@@ -21,10 +21,14 @@
 import pytest
 
 from tests.stands import SETTINGS, client, serve, world
-from tests.test_endings import cores_of, frame, on_connect, plain, request
+from tests.test_endings import cores_of, frame, on_connect, plain, request, some
 from tests.test_front import cut
+from zincladder.admission.model import Decision, Verdict, Why
+from zincladder.admission.plain import Plain
+from zincladder.core.arrival import NOTICED, ArrivalBound, LoopTurns
 from zincladder.core.engine import LEAST_TIME, Core
-from zincladder.net import thrift
+from zincladder.net import clients as client_side
+from zincladder.net import stream, thrift
 
 pytestmark = pytest.mark.anyio
 PATIENCE = 1.0  # seconds of the request that is not to be sent
@@ -141,3 +145,81 @@
 )
 def test_withdrawals_are_found_in_whole_messages_only(unread: bytes, start: int, found: list[int]) -> None:
     assert list(thrift.withdrawn(unread, start)) == found
+
+
+# When a request came in ------------------------------------------------------------------------------
+
+
+def test_a_message_that_the_loop_has_waited_for_counts_as_read_at_once() -> None:
+    turns = LoopTurns(100.0)
+    bound = ArrivalBound(turns, 100.0)
+    bound.waits(100.01)
+    for tick in range(1, 400):
+        turns.turned(100.0 + tick / 100)
+    bound.noticed(104.0)
+    assert bound.age(104.0, lambda: 3.0) == 0.0  # whatever the system says of other bytes
+
+
+@pytest.mark.parametrize(("newest", "age"), [(0.2, 0.2), (None, 0.48), (5.0, 0.48), (-0.1, 0.0)])
+def test_a_message_that_came_while_the_process_stood_still_is_as_old_as_can_be_known(
+    newest: float | None, age: float
+) -> None:
+    turns = LoopTurns(100.0)
+    bound = ArrivalBound(turns, 100.0)
+    bound.waits(100.0)
+    for now in (100.01, 100.02, 100.03, 100.51):  # the last turn is the one that found it
+        turns.turned(now)
+    bound.noticed(100.5)
+    assert bound.age(100.5, lambda: newest) == pytest.approx(age)
+
+
+def test_a_message_that_came_while_its_reader_was_kept_from_reading_counts_from_there() -> None:
+    turns = LoopTurns(100.0)
+    bound = ArrivalBound(turns, 100.0)
+    bound.waits(100.0)
+    bound.noticed(100.0)
+    bound.emptied(100.0)
+    for tick in range(100):
+        turns.turned(100.0 + tick / 100)
+    bound.waits(101.0)  # for a second it did not look
+    bound.noticed(101.0)
+    assert bound.age(101.0, lambda: None) == 1.0
+
+
+@pytest.mark.parametrize("told", [True, False], ids=["the system tells since when", "it does not"])
+async def test_a_request_that_waited_in_the_listeners_queue_has_only_the_time_that_is_left(
+    told: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    full, waited = [True], 0.4
+    ready = Plain.ready
+
+    def full_for_a_while(self: Plain, now: float) -> Decision:
+        return Decision(Verdict.WAIT, Why.FULL) if full else ready(self, now)
+
+    monkeypatch.setattr(Plain, "ready", full_for_a_while)
+    if not told:
+        monkeypatch.setattr(client_side, "newest_byte_age", lambda _: None)
+    async with world(serve, settings=NO_PROBES) as w:
+        with plain(w) as sock:
+            sock.sendall(request(1, patience="2000"))
+            await anyio.sleep(waited)
+            full.clear()
+            await some(sock)
+        (fetch,) = [fetch for stub in w.caches for fetch in stub.fetches]
+        assert int(fetch.fields["limit"]) <= 2000 - 1000 * waited + 1000 * NOTICED
+
+
+async def test_the_system_tells_the_age_of_what_lies_unread() -> None:
+    with (
+        socket.create_server(("127.0.0.1", 0)) as listening,
+        socket.create_connection(listening.getsockname()) as theirs,
+    ):
+        theirs.sendall(b"x")
+        ours, _ = listening.accept()
+        with ours:
+            await anyio.sleep(0.1)
+            age = stream.newest_byte_age(ours)
+            assert age is not None and 0.08 <= age < 5.0
+    ours, theirs = socket.socketpair()
+    with ours, theirs:
+        assert stream.newest_byte_age(ours) is None
--- a/zincladder/core/engine.py
+++ b/zincladder/core/engine.py
@@ -21,6 +21,7 @@
 from anyio.abc import TaskGroup
 
 from zincladder import interface as api
+from zincladder.core.arrival import LoopTurns
 from zincladder.core.attempt import Ask, Hold, Order
 from zincladder.core.classes import Classes
 from zincladder.core.ends import End, How
@@ -125,6 +126,7 @@
         self.freshness: Freshness | None = None
         self.look_at_news: Callable[[], None] = lambda: None
         self._news_of_fleet = anyio.Event()
+        self.turns = LoopTurns(monotonic())
         self.behind = 0.0  # seconds by which the event loop was late at its last two looks
         self._lines = RateLimitedLog()
         self._requests = 0
@@ -514,6 +516,7 @@
         late = 0.0
         async with anyio.create_task_group() as self._attempts:
             while True:
+                self.turns.turned(monotonic())
                 while self._probes:
                     self._attempts.start_soon(self._probe, self._probes.pop())
                 while self._timers and self._timers[0][0] <= self.clock.now():
--- a/zincladder/net/clients.py
+++ b/zincladder/net/clients.py
@@ -21,13 +21,14 @@
 from zincladder.admission.model import Act, Decision, Seat, Why
 from zincladder.admission.seats import SETTLED
 from zincladder.config import Config
+from zincladder.core.arrival import NOTICED, ArrivalBound
 from zincladder.core.attempt import Ask
 from zincladder.core.ends import How
 from zincladder.core.engine import DUE_MARGIN, Answer, Core
 from zincladder.net import protocol, thrift
 from zincladder.net.door import Door
 from zincladder.net.protocol import BadFields
-from zincladder.net.stream import Ended, Inbox, Outbox, unread
+from zincladder.net.stream import Ended, Inbox, Outbox, newest_byte_age, unread
 from zincladder.support.lingering import AT_ONCE, LINGER, lingering_close
 from zincladder.support.rate_limited_log import RateLimitedLog
 
@@ -70,6 +71,7 @@
     seat: Seat
     inbox: Inbox
     outbox: Outbox
+    arrival: ArrivalBound
     since: float
     used_at: float
     scope: anyio.CancelScope = field(default_factory=anyio.CancelScope)
@@ -135,7 +137,13 @@
         self._warn = RateLimitedLog()
         self._tasks: TaskGroup | None = None
         self._door = Door(
-            config.listen, admission, lambda: self._config.sockets, self._seat, self._evict, listening
+            config.listen,
+            admission,
+            lambda: self._config.sockets,
+            self._seat,
+            self._evict,
+            core.turns,
+            listening,
         )
         self.succeeded: Callable[[], bool] = lambda: False  # another process takes new clients from the queue
         self.stopping = False
@@ -216,11 +224,12 @@
             return False
         return self._retire(client)
 
-    def _seat(self, sock: socket.socket, decision: Decision) -> None:
+    def _seat(self, sock: socket.socket, decision: Decision, came_after: float) -> None:
         now = monotonic()
         seat = self._admission.seat(decision, now)
         outbox = Outbox(sock, _Unread(self._admission, seat))
-        client = self._clients[seat] = _Client(sock, seat, Inbox(sock), outbox, now, now)
+        arrival = ArrivalBound(self._core.turns, came_after)
+        client = self._clients[seat] = _Client(sock, seat, Inbox(sock), outbox, arrival, now, now)
         assert self._tasks is not None
         self._tasks.start_soon(self._client, client)
 
@@ -342,15 +351,14 @@
                 # Guards a client that comes again as soon as it is refused: when the loop is late, the next
                 # look from outside would always find its next request.
                 return
-            await inbox.some()
-            now = monotonic()
-            if not self._admission.may_read(client.seat, now):
+            await self._noticed(client)
+            came, noticed = self._core.clock.now(), monotonic()  # a halt between the two makes it older
+            if not self._admission.may_read(client.seat, noticed):
                 # Guards the loop: what is over its source's share stays unread, at last in the client's
                 # system.
                 client.turn = anyio.Event()
                 await client.turn.wait()
-            client.frame_at, came = monotonic(), self._core.clock.now()
-            came -= client.frame_at - now
+            client.frame_at = monotonic()
             await inbox.some(FRAME_HEAD)  # looks ahead of the reader begin at a whole head
             size = int.from_bytes(await inbox.exactly(FRAME_HEAD), "big")
             if not 0 < size <= thrift.MOST_FRAME:
@@ -386,7 +394,35 @@
                 raise Ended(How.GARBLED, f"more than {OPEN_AT_MOST} requests open")
             else:
                 last = call.seq
-                self._take(client, call, came, tasks)
+                self._take(client, call, came - self._age(client, noticed), tasks)
+
+    async def _noticed(self, client: _Client) -> None:
+        """Waits for the next message to begin."""
+        if client.inbox.buffered():
+            return  # it came with the one before
+        client.arrival.waits(monotonic())
+        await client.inbox.some()
+        now = monotonic()
+        client.arrival.noticed(now)
+        client.arrival.emptied(now)
+
+    def _age(self, client: _Client, noticed: float) -> float:
+        """For how many seconds the request that was just read had lain unread when it was noticed.
+
+        Guards members and clients against the time of a request that is counted from when it was read.
+        """
+
+        def newest() -> float | None:
+            if client.inbox.buffered() or unread(client.sock, 1).data:
+                return None  # of a later message
+            age = newest_byte_age(client.sock)
+            return None if age is None else age - (monotonic() - noticed)
+
+        age = client.arrival.age(noticed, newest)
+        if age > NOTICED:
+            self._core.counts["requests", "lay_unread"] += 1
+            self._warn.warning("request lay unread", age_s=round(age, 3), open=len(self._traces))
+        return age
 
     def _withdraw(self, client: _Client, seq: int) -> None:
         taken = client.open.pop(seq, None)
--- a/zincladder/net/door.py
+++ b/zincladder/net/door.py
@@ -11,6 +11,7 @@
 import struct
 from collections import deque
 from collections.abc import Callable
+from dataclasses import dataclass, replace
 from time import monotonic
 
 import anyio
@@ -20,6 +21,7 @@
 from zincladder.admission.interface import Admission
 from zincladder.admission.model import Decision, Seat, Verdict, Why
 from zincladder.config import Address
+from zincladder.core.arrival import ArrivalBound, LoopTurns
 from zincladder.net.stream import family
 from zincladder.support.rate_limited_log import RateLimitedLog
 
@@ -60,6 +62,16 @@
     sock.close()
 
 
+@dataclass(frozen=True, slots=True)
+class _InLobby:
+    """A connection that was taken and has no seat yet."""
+
+    sock: socket.socket
+    decision: Decision
+    since: float
+    came_after: float  # it connected later than this
+
+
 class Door:
     """Takes what waits in the system's queue and hands on what gets a seat."""
 
@@ -68,18 +80,23 @@
         listen: Address,
         admission: Admission,
         sockets: Callable[[], int],
-        seat: Callable[[socket.socket, Decision], None],
+        seat: Callable[[socket.socket, Decision, float], None],
         evict: Callable[[Seat, Why], None],
+        turns: LoopTurns,
         listening: socket.socket | None = None,
     ) -> None:
-        """`listening` is the socket of another process of this front; without one it listens anew."""
+        """`listening` is the socket of another process of this front; without one it listens anew.
+
+        `seat` is given what has a seat, and the time after which it connected.
+        """
+        self._queue = ArrivalBound(turns, monotonic())
         self.listener = listening or listener(listen)
         self.hand_on = False  # another process takes what still waits
         self._admission, self._sockets, self._seat, self._evict = admission, sockets, seat, evict
         self._spare: int | None = os.open(os.devnull, os.O_RDONLY | os.O_CLOEXEC)
         self._pause = PAUSES[0]
         self._turned = 0  # since the last look
-        self._lobby: deque[tuple[socket.socket, Decision, float]] = deque()
+        self._lobby: deque[_InLobby] = deque()
         self._warn = RateLimitedLog()
 
     @property
@@ -97,13 +114,15 @@
                         # costs more than the turning away. They come in handfuls; nobody waits for long.
                         await anyio.sleep(WAIT)
                     else:
+                        self._queue.waits(monotonic())
                         await anyio.wait_readable(self.listener)
+                        self._queue.noticed(monotonic())
             if not self.hand_on:
                 await self._admit()
         finally:
             self.listener.close()
             while self._lobby:
-                turn_away(self._lobby.popleft()[0])
+                turn_away(self._lobby.popleft().sock)
             if self._spare is not None:
                 os.close(self._spare)
                 self._spare = None
@@ -126,6 +145,7 @@
             try:
                 sock, peer = self.listener.accept()
             except (BlockingIOError, InterruptedError):
+                self._queue.emptied(now)
                 return turned
             except OSError as fault:
                 if fault.errno in SHORT:
@@ -141,16 +161,17 @@
                 turn_away(sock)
                 self._turned += 1
             else:
-                self._judge(sock, decision, now)
+                self._judge(_InLobby(sock, decision, now, self._queue.came_after))
             if taken % TURN == 0:
                 await anyio.lowlevel.checkpoint()
         return turned
 
-    def _judge(self, sock: socket.socket, decision: Decision, now: float) -> None:
+    def _judge(self, taken: _InLobby) -> None:
+        sock, decision = taken.sock, taken.decision
         if decision.verdict is Verdict.ADMIT:
             # Before anybody else sees it: a look at an accepted socket that blocks halts the whole process.
             sock.setblocking(False)
-            self._seat(sock, decision)
+            self._seat(sock, decision, taken.came_after)
         elif decision.verdict is TURN_AWAY:
             turn_away(sock)
             self._turned += 1
@@ -159,7 +180,7 @@
                 self._evict(decision.evict, decision.why)
             assert isinstance(self._admission, Gate)
             if len(self._lobby) < self._admission.limits.lobby:
-                self._lobby.append((sock, decision, now))
+                self._lobby.append(taken)
             else:
                 self._admission.given_up(decision)
                 turn_away(sock)
@@ -171,19 +192,19 @@
             self._warn.warning("connections turned away", so_far=by)
             self._turned = 0
         for _ in range(len(self._lobby)):
-            sock, decision, since = self._lobby.popleft()
+            taken = self._lobby.popleft()
             now = monotonic()
             assert isinstance(self._admission, Gate)
-            again = self._admission.again(decision, now)
-            if again.verdict is Verdict.WAIT and now - since <= LOBBY_FOR:
+            again = self._admission.again(taken.decision, now)
+            if again.verdict is Verdict.WAIT and now - taken.since <= LOBBY_FOR:
                 if again.evict is not None:
                     self._evict(again.evict, again.why)
-                self._lobby.append((sock, decision, since))
+                self._lobby.append(taken)
             elif again.verdict is Verdict.WAIT:
-                self._admission.given_up(decision)
-                turn_away(sock)
+                self._admission.given_up(taken.decision)
+                turn_away(taken.sock)
             else:
-                self._judge(sock, again, now)
+                self._judge(replace(taken, decision=again))
 
     def measure(self) -> None:
         """Guards against a limit that was changed from outside: the lesser of it and the configured one
--- a/zincladder/net/stream.py
+++ b/zincladder/net/stream.py
@@ -6,6 +6,7 @@
 import math
 import select
 import socket
+import struct
 from collections import deque
 from collections.abc import Callable, Sequence
 from typing import NamedTuple, Protocol
@@ -20,6 +21,7 @@
 MOST_PARTS = 64  # of one gathered write; the system takes 1,024
 LOOK = 1 << 16  # bytes that a look at what lies unread sees
 _PEEKED = bytearray(LOOK)
+TCP_INFO_SIZE, LAST_DATA_RECV_AT, _LAST_DATA_RECV = 104, 52, struct.Struct("=I")
 GONE = (errno.ECONNRESET, errno.EPIPE, errno.ETIMEDOUT, errno.EBADF, errno.ENOTCONN, errno.ECONNABORTED)
 
 
@@ -340,6 +342,20 @@
     return unread(sock, 1).ended
 
 
+def newest_byte_age(sock: socket.socket) -> float | None:
+    """Seconds since the newest byte of a connection came in, read or not; None where the system tells none.
+
+    From `tcpi_last_data_recv` of TCP_INFO (tcp(7), linux/tcp.h), which counts in milliseconds.
+    """
+    try:
+        told = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, TCP_INFO_SIZE)
+    except OSError:
+        return None
+    if len(told) < TCP_INFO_SIZE or not told[0]:  # a state of 0 is none: whoever answers does not know
+        return None
+    return int(_LAST_DATA_RECV.unpack_from(told, LAST_DATA_RECV_AT)[0]) / 1000
+
+
 def family(host: str) -> socket.AddressFamily:
     """The family of an address in text."""
     return socket.AF_INET6 if ":" in host else socket.AF_INET
