Write an attempt down as its first byte goes, and look again after a halt

An attempt that waited in a member's queue behind others carried the time of its decision, too. Change: Outbox asks for a message's parts in the moment in which its first byte goes, after the last look; a look that took over 10 ms is repeated. The oldest copy that a purge allows is written down then too, so that a purge told while an attempt waits turns nothing back any more: Hold.PURGED and Order.oldest go. What remains is a stop in the microseconds between the last look and the system call.

--- a/tests/test_late_attempts.py
+++ b/tests/test_late_attempts.py
@@ -23,6 +23,7 @@
 from tests.stands import SETTINGS, client, serve, world
 from tests.test_endings import cores_of, frame, on_connect, plain, request, some
 from tests.test_front import cut
+from tests.test_member_links import LARGE, order, wire
 from zincladder.admission.model import Decision, Verdict, Why
 from zincladder.admission.plain import Plain
 from zincladder.core.arrival import NOTICED, ArrivalBound, LoopTurns
@@ -147,6 +148,34 @@
     assert list(thrift.withdrawn(unread, start)) == found
 
 
+# What the last look finds, and how long it holds -----------------------------------------------------
+
+
+def test_a_process_that_stood_still_in_its_last_look_looks_again(monkeypatch: pytest.MonkeyPatch) -> None:
+    now, halts, looks = [100.0], [0.5, 0.0], list[float]()
+    monkeypatch.setattr(stream, "monotonic", lambda: now[0])
+
+    def look() -> bool:
+        looks.append(now[0])
+        now[0] += halts.pop(0)
+        return True
+
+    assert stream._promptly(look) and looks == [100.0, 100.5]
+
+
+async def test_a_member_is_told_what_is_left_when_the_first_byte_goes() -> None:
+    # the second waits behind a first that the member does not take yet
+    now = [1000.0]
+    async with wire(now=lambda: now[0]) as w:
+        await w.send(b"x" * LARGE, order("a" * 16))
+        until = order("b" * 16, until=now[0] + 2.0)
+        await w.attempt("b" * 16, lambda: w.caches._fetch(until), until)
+        w.link.outbox._flush()  # written down, and not taken
+        now[0] += 1.5
+        found = await w.read(lambda found: found.endswith(b" 0\r\n\r\n"))
+        assert b"limit=500" in found
+
+
 # When a request came in ------------------------------------------------------------------------------
 
 
--- a/zincladder/core/attempt.py
+++ b/zincladder/core/attempt.py
@@ -37,7 +37,6 @@
     TIME_OVER = "its time is over"
     CLIENT_LEFT = "its client has left"
     WINDOW_OVER = "its repeats are no longer dropped"
-    PURGED = "its object was purged while it waited to be written"
     MEMBER_DRAINS = "its member is no longer ready"
     OUT_OF_DATE = "what is known of the fleet may be out of date"
     SOURCE_DRAINS = "the source of its fill is no longer ready"
@@ -93,7 +92,6 @@
     renew: bool = False
     until: float = 0.0  # when the wait for it ends
     begin_by: float = math.inf  # its first byte goes before this: repeats are dropped for that long only
-    oldest: float | None = None  # the oldest copy that its fields allow; None until they are written down
     called_off: bool = False  # its cancellation may still wait for its turn of the event loop
     guard: Guard = NO_GUARD
 
--- a/zincladder/core/engine.py
+++ b/zincladder/core/engine.py
@@ -480,8 +480,6 @@
             return Hold.CLIENT_LEFT
         if now >= order.begin_by:
             return Hold.WINDOW_OVER
-        if order.oldest is not None and 0 < self.oldest_copy(order) < (order.oldest or math.inf):
-            return Hold.PURGED
         if not self._ready(order.member):
             return Hold.MEMBER_DRAINS
         return None if self._ready(order.source) else Hold.SOURCE_DRAINS
--- a/zincladder/net/caches.py
+++ b/zincladder/net/caches.py
@@ -201,7 +201,6 @@
     Hold.TIME_OVER: How.TOO_LATE,
     Hold.CLIENT_LEFT: How.CALLED_OFF,
     Hold.WINDOW_OVER: How.TOO_LATE,
-    Hold.PURGED: How.NOT_WRITTEN,
     Hold.MEMBER_DRAINS: How.TURNED,
     Hold.OUT_OF_DATE: How.TOO_LATE,
     Hold.SOURCE_DRAINS: How.TURNED,
@@ -277,7 +276,7 @@
             link = await self._link(order.member, order.ask.trace.encode())
         except (OSError, TimeoutError) as fault:
             return End(How.NO_CONNECTION, why=str(fault))
-        return await self._exchange(link, order.ask.trace.encode(), self._fetch(order), order)
+        return await self._exchange(link, order.ask.trace.encode(), partial(self._fetch, order), order)
 
     async def probe(self, member: api.MemberId) -> End:
         self._probes += 1
@@ -288,11 +287,16 @@
                 link = await self._link(member, tag)
             except (OSError, TimeoutError) as fault:
                 return End(How.NO_CONNECTION, why=str(fault))
-            end = await self._exchange(link, tag, [b"stats " + tag + b"\r\n"], None)
+            end = await self._exchange(link, tag, lambda: [b"stats " + tag + b"\r\n"], None)
         return end
 
-    async def _exchange(self, link: _Link, name: bytes, parts: Sequence[bytes], order: Order | None) -> End:
-        """One message and the wait for its answer; cancelled, it is given up on the wire too."""
+    async def _exchange(
+        self, link: _Link, name: bytes, write: Callable[[], Sequence[bytes]], order: Order | None
+    ) -> End:
+        """One message and the wait for its answer; cancelled, it is given up on the wire too.
+
+        `write` gives the message as of the moment in which its first byte goes.
+        """
         waiting = link.open[name] = _Waiting(order is None, order.ask.tag if order else "")
         link.take(name)
         began, received = monotonic(), link.inbox.received
@@ -304,7 +308,8 @@
                 # Guards the request: it was held back at the last look, and nobody else says so.
                 waiting.finish(_held_back(order, order.hold() or Hold.MEMBER_DRAINS))
 
-        entry = waiting.entry = link.outbox.put(parts, order.may_go if order else None, gone)
+        # Guards the time that the member is told: it is what is left as the first byte goes.
+        entry = waiting.entry = link.outbox.put((), order.may_go if order else None, gone, write)
         try:
             while waiting.end is None:
                 await waiting.news.wait()
@@ -330,7 +335,8 @@
             link.settle()
 
     def _fetch(self, order: Order) -> list[bytes]:
-        ask, order.oldest = order.ask, order.age_now()
+        """The attempt as of this moment: the time that is left, and the oldest copy that a purge allows."""
+        ask = order.ask
         fields = protocol.write_fetch(order, self._class_names[ask.klass], order.until - self._now())
         head = f"fetch {ask.trace} {fields} {len(ask.body)}\r\n".encode()
         return [head, ask.body, b"\r\n"]
--- a/zincladder/net/stream.py
+++ b/zincladder/net/stream.py
@@ -9,18 +9,21 @@
 import struct
 from collections import deque
 from collections.abc import Callable, Sequence
-from typing import NamedTuple, Protocol
+from time import monotonic
+from typing import NamedTuple, Protocol, TypeVar
 
 import anyio
 
 from zincladder.core.ends import How
 
 Part = bytes | bytearray | memoryview
+Looked = TypeVar("Looked")
 FIRST_BUFFER = 8192
 STEP = 1 << 16  # room made for a body that has not come yet
 MOST_PARTS = 64  # of one gathered write; the system takes 1,024
 LOOK = 1 << 16  # bytes that a look at what lies unread sees
 _PEEKED = bytearray(LOOK)
+PROMPT, MOST_LOOKS = 0.01, 3  # seconds for which a last look is good, and looks in a row on a slow machine
 TCP_INFO_SIZE, LAST_DATA_RECV_AT, _LAST_DATA_RECV = 104, 52, struct.Struct("=I")
 GONE = (errno.ECONNRESET, errno.EPIPE, errno.ETIMEDOUT, errno.EBADF, errno.ENOTCONN, errno.ECONNABORTED)
 
@@ -131,16 +134,49 @@
         return body
 
 
+def _views(parts: Sequence[Part]) -> list[memoryview]:
+    return [memoryview(p) for p in parts if len(p)]
+
+
+def _promptly(look: Callable[[], Looked]) -> Looked:
+    """What a look gives just before a write; a process that stood still meanwhile looks again."""
+    for _ in range(MOST_LOOKS):
+        began = monotonic()
+        found = look()
+        if monotonic() - began < PROMPT:
+            break
+    return found
+
+
 class Entry:
     """One message on its way out: its parts, and what to ask when its first byte is about to go."""
 
-    __slots__ = ("begun", "done", "may_go", "parts")
+    __slots__ = ("begun", "done", "may_go", "parts", "write")
 
-    def __init__(self, parts: Sequence[Part], may_go: Callable[[], bool] | None) -> None:
-        self.parts = [memoryview(p) for p in parts if len(p)]
-        self.may_go = may_go
+    def __init__(
+        self,
+        parts: Sequence[Part],
+        may_go: Callable[[], bool] | None,
+        write: Callable[[], Sequence[Part]] | None,
+    ) -> None:
+        self.may_go, self.write = may_go, write
         self.begun = False
         self.done: Callable[[bool], None] | None = None  # told whether it was written
+        self.parts = _views(parts)
+
+    def look(self) -> bool:
+        """Whether it may go; it is then written down as of this moment, if it was given that way."""
+        if self.begun:
+            return True
+        if self.may_go and not self.may_go():
+            return False
+        if self.write:
+            self.parts = _views(self.write())
+        return True
+
+    def size(self) -> int:
+        """Bytes that are not written yet."""
+        return sum(map(len, self.parts))
 
     def take(self, sent: int) -> int:
         """Takes written bytes off; gives how many were not this message's."""
@@ -194,16 +230,17 @@
         parts: Sequence[Part],
         may_go: Callable[[], bool] | None = None,
         done: Callable[[bool], None] | None = None,
+        write: Callable[[], Sequence[Part]] | None = None,
     ) -> Entry:
         """Writes what the socket takes at once; `run` writes the rest. `done` hears of the last byte, or that
-        `may_go` turned it back.
+        `may_go` turned it back. `write` gives the parts as of the moment in which the first byte goes.
         """
-        entry = Entry(parts, may_go)
+        entry = Entry(parts, may_go, write)
         entry.done = done
         if not self._queue and self._at_once(entry):
             return entry
         self._queue.append(entry)
-        self._grow(sum(map(len, entry.parts)))
+        self._grow(entry.size())
         if len(self._queue) == 1:
             self._flush()
         if self._queue:
@@ -212,7 +249,7 @@
 
     def _at_once(self, entry: Entry) -> bool:
         """Writes a message that nothing is before; True if all of it went, as it nearly always does."""
-        if self.ended or not entry.parts or (entry.may_go and not entry.may_go()):
+        if self.ended or not _promptly(entry.look) or not entry.parts:
             return False
         try:
             sent = self._sock.sendmsg(entry.parts)
@@ -244,24 +281,12 @@
         entry.done = None
         if entry in self._queue:
             self._queue.remove(entry)
-            self._grow(-sum(map(len, entry.parts)))
+            self._grow(-entry.size())
         return True
 
     def _flush(self) -> None:
         while self._queue and not self.ended:
-            parts: list[memoryview] = []
-            turned: list[Entry] = []
-            for entry in self._queue:
-                if not entry.begun and entry.may_go and not entry.may_go():
-                    turned.append(entry)
-                    continue
-                if parts and len(parts) + len(entry.parts) > MOST_PARTS:
-                    break
-                parts.extend(entry.parts)
-            for entry in turned:
-                self._queue.remove(entry)  # told otherwise since it was queued
-                self._grow(-sum(map(len, entry.parts)))
-                entry.over(False)
+            parts = _promptly(self._next)
             if not parts:
                 continue
             try:
@@ -273,6 +298,25 @@
                 return
             self._sent(sent)
 
+    def _next(self) -> list[memoryview]:
+        """What goes next, as of this moment; what may not go any more is taken out of the queue."""
+        parts: list[memoryview] = []
+        turned: list[Entry] = []
+        for entry in self._queue:
+            before = entry.size()
+            if not entry.look():
+                turned.append(entry)
+                continue
+            self._grow(entry.size() - before)
+            if parts and len(parts) + len(entry.parts) > MOST_PARTS:
+                break
+            parts.extend(entry.parts)
+        for entry in turned:
+            self._queue.remove(entry)  # told otherwise since it was queued
+            self._grow(-entry.size())
+            entry.over(False)
+        return parts
+
     def _sent(self, sent: int) -> None:
         self._grow(-sent)
         while self._queue:
