Drop what a member's system has not taken of a request that was given up

Cause: an attempt that is given up after its last byte was handed to this side's system is still sent when the member takes bytes again, or a cut heals, however long its client has gone: the front wrote an 'abort' behind it, and a connection at rest was ended in order, which sends what waits. Change: where the member's system has not acknowledged it within 0.2 s (the least time after which a system sends again) the connection is given no new request, and ends once nothing is open on it; a connection of this side's own end that holds unsent bytes is reset, which drops them. The member sees a reset in place of an end there; a test that reads to the end takes either.

--- a/tests/test_late_attempts.py
+++ b/tests/test_late_attempts.py
@@ -28,8 +28,10 @@
 from zincladder.admission.plain import Plain
 from zincladder.core.arrival import NOTICED, ArrivalBound, LoopTurns
 from zincladder.core.engine import LEAST_TIME, Core
+from zincladder.net import caches as cache_side
 from zincladder.net import clients as client_side
 from zincladder.net import stream, thrift
+from zincladder.net.stream import unsent
 
 pytestmark = pytest.mark.anyio
 PATIENCE = 1.0  # seconds of the request that is not to be sent
@@ -176,6 +178,25 @@
         assert b"limit=500" in found
 
 
+async def test_what_a_member_has_not_taken_of_a_request_that_was_given_up_is_dropped(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    # else this side's system sends it once the member takes bytes again, however long its client has gone
+    monkeypatch.setattr(cache_side, "UNTAKEN_AFTER", 0.0)
+    async with wire() as w:
+        scopes = list[anyio.CancelScope]()
+        while not unsent(w.link.sock):
+            scopes.append(await w.send(b"x" * 500 + b"\r\n", order(f"{len(scopes):016x}")))
+        last = f"{len(scopes):016x}"
+        scopes.append(await w.send(b"last\r\n", order(last)))
+        assert all(waiting.entry and not waiting.entry.parts for waiting in w.link.open.values())
+        for scope in scopes:
+            scope.cancel()
+        await anyio.wait_all_tasks_blocked()
+        found = await w.read(lambda found: False)
+        assert b"last" not in found and last.encode() not in found
+
+
 # When a request came in ------------------------------------------------------------------------------
 
 
--- a/tests/test_member_links.py
+++ b/tests/test_member_links.py
@@ -110,6 +110,8 @@
                 except BlockingIOError:
                     await anyio.wait_readable(self.member)
                     continue
+                except ConnectionResetError:
+                    break  # the front's end too: what its system had not sent is dropped
                 if not got:
                     break
                 found += got
--- a/zincladder/net/caches.py
+++ b/zincladder/net/caches.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+import contextlib
 import errno
 import re
 import socket
+import struct
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 from functools import partial
@@ -20,7 +22,7 @@
 from zincladder.core.attempt import Hold, Order
 from zincladder.core.ends import End, How
 from zincladder.net import protocol
-from zincladder.net.stream import Ended, Entry, Inbox, Outbox, connect, left
+from zincladder.net.stream import Ended, Entry, Inbox, Outbox, connect, left, unsent
 from zincladder.support.lingering import LINGER, lingering_close
 from zincladder.support.rate_limited_log import RateLimitedLog
 
@@ -33,6 +35,8 @@
 SILENT_AFTER = (
     0.8  # seconds without a byte from a member that owes an answer: its connection is not used again
 )
+UNTAKEN_AFTER = 0.2  # seconds, the least time in which a system sends again what was not acknowledged
+RESET = struct.pack("ii", 1, 0)  # SO_LINGER: an end that drops what was not sent
 NAMES_FOR = 10.0  # seconds for which an id is not used again on its connection, past the longest deadline
 SHORT_BY, SHORT_FOR = 4, 0.03  # descriptors made free when the system has none, and seconds to wait for them
 CONNECT_LIMIT = 0.4  # where the settings name none
@@ -103,7 +107,11 @@
                 cut = How.CUT if how in (How.CLOSED, How.IDLE) else how
                 waiting.finish(End(How.NOT_WRITTEN if unwritten else cut, why=why))
             try:
-                if how is How.IDLE:  # this side's own end: the member may be in the middle of a line
+                if unsent(self.sock):
+                    # Guards requests that were given up: after a usual end the system goes on sending them.
+                    with contextlib.suppress(OSError):
+                        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+                elif how is How.IDLE:  # this side's own end: the member may be in the middle of a line
                     with self.lingering:
                         await lingering_close(self.sock, LINGER)
             finally:
@@ -330,8 +338,11 @@
                         link.outbox.put([b"abort " + name + b"\r\n"])
                     # Guards against a machine that is cut off: its connection stays up and silent, and only a
                     # new one, which does not come up, proves that the next request never ran.
-                    silent = link.inbox.received == received
-                    link.retired |= silent and monotonic() - began > SILENT_AFTER
+                    silent, waited = link.inbox.received == received, monotonic() - began
+                    link.retired |= silent and waited > SILENT_AFTER
+                    # What the member's system has not taken goes out whenever it does: ended at once, if
+                    # nothing else is open here, this side's system drops it.
+                    link.retired |= waited > UNTAKEN_AFTER and unsent(link.sock)
             link.settle()
 
     def _fetch(self, order: Order) -> list[bytes]:
--- a/zincladder/net/stream.py
+++ b/zincladder/net/stream.py
@@ -3,10 +3,13 @@
 from __future__ import annotations
 
 import errno
+import fcntl
 import math
 import select
 import socket
 import struct
+import termios
+from array import array
 from collections import deque
 from collections.abc import Callable, Sequence
 from time import monotonic
@@ -400,6 +403,16 @@
     return int(_LAST_DATA_RECV.unpack_from(told, LAST_DATA_RECV_AT)[0]) / 1000
 
 
+def unsent(sock: socket.socket) -> bool:
+    """Whether the peer's system has not taken all that was written; False where this system tells none."""
+    waiting = array("i", [0])
+    try:
+        fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, waiting)  # SIOCOUTQ of tcp(7)
+    except OSError:
+        return False
+    return waiting[0] > 0
+
+
 def family(host: str) -> socket.AddressFamily:
     """The family of an address in text."""
     return socket.AF_INET6 if ":" in host else socket.AF_INET
