Let no timer that fires after a halt judge by what was not read yet

When the process goes on after a halt, timers go before what came in meanwhile is read: an attempt's patience or time called its member silent though its answer lay there (and its client was refused), a message whose rest lay there counted as broken off, a peer that had read as one that does not, and a client whose request lay there as one that says nothing (its connection was ended with the request unread: a lost request).

--- a/tests/test_late_attempts.py
+++ b/tests/test_late_attempts.py
@@ -13,14 +13,19 @@
 
 from __future__ import annotations
 
+import asyncio
+import contextlib
+import os
 import socket
 import struct
-from collections.abc import Callable
+import time
+from collections.abc import AsyncIterator, Callable
 
 import anyio
 import pytest
+from anyio.abc import SocketAttribute
 
-from tests.stands import SETTINGS, client, serve, world
+from tests.stands import SETTINGS, Fetch, StubCache, client, serve, world
 from tests.test_endings import cores_of, frame, on_connect, plain, request, some
 from tests.test_front import cut
 from tests.test_member_links import LARGE, order, wire
@@ -35,6 +40,8 @@
 
 pytestmark = pytest.mark.anyio
 PATIENCE = 1.0  # seconds of the request that is not to be sent
+PAGE_PATIENCE = 1.35  # seconds that the router has with a page's cache
+WAIT = 0.05  # seconds for which a peer may be silent
 NO_PROBES = SETTINGS | {"ceilings": SETTINGS["ceilings"] | {"probes": False}}  # only attempts connect
 Act = Callable[[Core, socket.socket], None]
 
@@ -273,3 +280,99 @@
     ours, theirs = socket.socketpair()
     with ours, theirs:
         assert stream.newest_byte_age(ours) is None
+
+
+# Timers that fire before what came in meanwhile is read ----------------------------------------------
+
+
+def answer_at_once(fetch: Fetch) -> None:
+    """Answers before the event loop has another turn."""
+    number = fetch.stream.extra(SocketAttribute.raw_socket).fileno()
+    with socket.socket(fileno=os.dup(number)) as sock:
+        sock.sendall(f"{fetch.name} 200 tell=local,rev=aa,since=1 4\r\nbody\r\n".encode())
+
+
+@pytest.mark.parametrize(
+    ("patience", "kind"), [(PAGE_PATIENCE + 2.0, "served"), (PAGE_PATIENCE, "Throttled")]
+)
+async def test_a_halt_of_the_process_is_not_taken_for_a_members_silence(
+    patience: float, kind: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    # the time of the attempt, or of the whole request, runs out while the answer lies unread
+    cores, halted = cores_of(monkeypatch), [PAGE_PATIENCE + 0.2]
+
+    async def answers_and_halts(stub: StubCache, fetch: Fetch) -> None:
+        if not halted:
+            return await serve(stub, fetch)
+        answer_at_once(fetch)
+        time.sleep(halted.pop())
+
+    async with world(answers_and_halts, answers_and_halts, settings=NO_PROBES) as w, client(w) as c:
+        await c.ask(patience=str(round(1000 * patience)))
+        assert (await c.reply()).kind == kind
+        assert len([fetch for stub in w.caches for fetch in stub.fetches]) == 1
+        assert {seen.failing for seen in cores[0].router.seen.values()} == {0.0}
+
+
+@contextlib.asynccontextmanager
+async def halting(act: Callable[[], None]) -> AsyncIterator[None]:
+    """Lets the process stand still past every wait, between its look at all sockets and its timers.
+
+    `act` is what peers do meanwhile.
+    """
+    bell, ear = socket.socketpair()
+    loop, over = asyncio.get_running_loop(), anyio.Event()
+
+    def halt() -> None:
+        loop.remove_reader(ear)
+        act()
+        time.sleep(2 * WAIT)
+        over.set()
+
+    with bell, ear:
+        loop.add_reader(ear, halt)
+        bell.send(b"x")
+        await over.wait()
+        yield
+
+
+async def test_the_rest_of_a_message_that_came_during_a_halt_is_read() -> None:
+    ours, theirs = socket.socketpair()
+    with ours, theirs:
+        ours.setblocking(False)
+        inbox, lines = stream.Inbox(ours), list[bytes]()
+
+        async def read() -> None:
+            lines.append(await inbox.line(100, WAIT))
+
+        async with anyio.create_task_group() as tasks:
+            theirs.sendall(b"half")
+            tasks.start_soon(read)
+            await anyio.wait_all_tasks_blocked()
+            async with halting(lambda: theirs.sendall(b" a line\r\n")):
+                pass
+        assert lines == [b"half a line"]
+
+
+async def test_a_peer_that_read_during_a_halt_is_not_taken_for_one_that_does_not() -> None:
+    ours, theirs = socket.socketpair()
+
+    def reads() -> None:
+        with contextlib.suppress(BlockingIOError):
+            while True:
+                theirs.recv(LARGE)
+
+    with ours, theirs:
+        ours.setblocking(False)
+        theirs.setblocking(False)
+        outbox = stream.Outbox(ours)
+        outbox.put([b"x" * LARGE])
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(outbox.run, WAIT)
+            await anyio.wait_all_tasks_blocked()
+            async with halting(reads):
+                with anyio.fail_after(5):
+                    while not outbox.written:
+                        await anyio.sleep(0.001)
+            assert outbox.ended is None
+            tasks.cancel_scope.cancel()
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -78,6 +78,7 @@
             "zincladder.interface",
             "zincladder.decide",
             "zincladder.purges",
+            "zincladder.core.arrival",
             "zincladder.core.attempt",
             "zincladder.core.classes",
             "zincladder.core.ends",
--- a/tests/test_stalled_front.py
+++ b/tests/test_stalled_front.py
@@ -10,6 +10,7 @@
 import json
 import os
 import signal
+import socket
 from collections.abc import AsyncIterator
 from dataclasses import dataclass, field
 from enum import Enum
@@ -22,7 +23,9 @@
 import pytest
 
 from tests.stands import Client, Fetch, StubCache, configuration
+from tests.test_endings import request as call
 from tests.test_operating_day import Front, free
+from zincladder.net.clients import FIRST, STALL
 
 pytestmark = pytest.mark.anyio
 SEEDS = range(int(os.environ.get("STALL_FROM", "0")), int(os.environ.get("STALL_SEEDS", "3")))
@@ -261,3 +264,24 @@
         await stream.aclose()
     assert history.judge.broken == []
     assert (history.judge.attempts > 0) == (patience > stopped) and reply.seq in mine
+
+
+@pytest.mark.parametrize("part", [0, 9], ids=["nothing", "half of it"])
+async def test_a_request_of_which_the_rest_came_while_the_process_was_stopped_is_answered(
+    part: int, tmp_path: Path
+) -> None:
+    # the time that a client has for its first message, or for the rest of one, ran out meanwhile
+    history = History(0, tmp_path)
+    async with history.front() as front:
+        with socket.create_connection(history.where, 5.0) as sock:
+            message = call(1, route="video", patience="6000", trace="f" * 16)
+            sock.sendall(message[:part])
+            async with await anyio.connect_tcp(*history.where) as other:
+                c = Client(other)
+                await c.ask(trace="e" * 16)
+                await c.reply()  # so the first has been taken, and its part read
+            front.process.send_signal(signal.SIGSTOP)
+            await anyio.sleep(max(FIRST, STALL) + 0.3)
+            sock.sendall(message[part:])
+            front.process.send_signal(signal.SIGCONT)
+            assert len(await anyio.to_thread.run_sync(sock.recv, 100)) > 4
--- a/zincladder/core/engine.py
+++ b/zincladder/core/engine.py
@@ -38,7 +38,8 @@
 LEAST_TIME = 0.001  # seconds: a member can be told no less
 HELD_PART = 0.45  # of its time for which a request waits for a current list: a refusal is dear past half
 HELD_ATTEMPT = 0.2  # seconds for which a further attempt does: below the patience that judges its member
-HALT = 0.1  # seconds by which one turn of the event loop is late enough to be logged
+HALT = 0.1  # seconds by which a timer is so late that it judges nobody: the process stood still, or nearly
+CATCH_UP_TURNS = 4  # of the loop: it looks, a reader reads, the attempt hears of its end, the router of it
 READ_AGAIN = 0.05  # seconds after which a client may repeat what was read under rules that are over
 log = structlog.get_logger()
 
@@ -281,8 +282,9 @@
             log.exception("attempt failed", trace=order.ask.trace)
             end = End(How.FAULTED, why="a fault of the carrier")
         if scope.cancelled_caught:
-            late = self.clock.now() >= order.until
-            end = End(How.SILENT if late else How.CALLED_OFF, why="patience")
+            # Guards the member's name: where the timer itself is late, its answer may lie here unread.
+            silent = 0.0 <= self.clock.now() - order.until <= HALT
+            end = End(How.SILENT if silent else How.CALLED_OFF, why="patience")
         life.ends.append((n, end))
         if life.inline and life.inline[0] != n:  # a second copy; the request's own task waits for another
             self._take_ends(number, life)
@@ -528,6 +530,12 @@
                     self.behind = min(late, last)  # once is a moment's halt, twice in a row is too much work
                     if late > HALT:
                         self._lines.warning("event loop late", late_s=round(late, 3), open=len(self.lives))
+                        await self._catch_up()
+
+    async def _catch_up(self) -> None:
+        """Lets what came in meanwhile be read before timers judge who said nothing."""
+        for _ in range(CATCH_UP_TURNS):
+            await anyio.lowlevel.checkpoint()
 
     async def _probe(self, member: api.MemberId) -> None:
         started = self.clock.now()
--- a/zincladder/net/clients.py
+++ b/zincladder/net/clients.py
@@ -284,7 +284,7 @@
                 cpu, measured_at = used, now
                 self._door.measure()
             for c in [c for c in self._clients.values() if not c.ended]:
-                if (c.frame_at and now - c.frame_at > STALL) or (not c.spoke and now - c.since > FIRST):
+                if self._said_too_little(c, now):
                     self._warn.warning("client sent no whole message", open=len(c.open))
                     self._admission.did(c.seat, Act.STALLED, now)
                     self._core.counts["client_ends", How.STALLED.name.lower()] += 1
@@ -292,6 +292,15 @@
                 elif now - c.used_at > IDLE:
                     self._retire(c)
 
+    def _said_too_little(self, client: _Client, now: float) -> bool:
+        """Whether a client owes the first message, or the rest of one, for too long.
+
+        Not while something of it lies unread: after a halt of this process this look goes before the reader.
+        """
+        stopped = client.frame_at > 0 and now - client.frame_at > STALL
+        silent = not client.spoke and now - client.since > FIRST
+        return (stopped or silent) and not unread(client.sock, 1).data
+
     async def _client(self, client: _Client) -> None:
         sock = client.sock
         try:
--- a/zincladder/net/stream.py
+++ b/zincladder/net/stream.py
@@ -78,7 +78,10 @@
             else:
                 await anyio.wait_readable(self._sock)
         except TimeoutError:
-            raise Ended(How.GARBLED, "a message that broke off") from None
+            # Guards the peer against a halt of this process, whose timers go before what lies there unread.
+            lies = unread(self._sock, 1)
+            if not (lies.data or lies.ended):
+                raise Ended(How.GARBLED, "a message that broke off") from None
         except (OSError, ValueError, anyio.ClosedResourceError):
             raise Ended(How.CUT) from None
 
@@ -226,7 +229,7 @@
         self._queue: deque[Entry] = deque()
         self._news = anyio.Event()
         self.ended: Ended | None = None
-        self.size = 0
+        self.size = self.written = 0  # bytes that wait here, and that went out of those
 
     def put(
         self,
@@ -321,6 +324,7 @@
         return parts
 
     def _sent(self, sent: int) -> None:
+        self.written += sent
         self._grow(-sent)
         while self._queue:
             entry = self._queue[0]
@@ -354,9 +358,10 @@
                     await anyio.wait_writable(self._sock)
                 except (OSError, ValueError, anyio.ClosedResourceError):
                     raise Ended(How.CUT) from None
-            if waiting.cancelled_caught:
-                raise Ended(How.STALLED, "the peer does not read")
+            before = self.written
             self._flush()
+            if waiting.cancelled_caught and self._queue and self.written == before:
+                raise Ended(How.STALLED, "the peer does not read")
 
 
 class Unread(NamedTuple):
