--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -116,7 +116,7 @@
     async with case() as (c, scope):
         assert c.core.router.attempts
         scope.cancel()
-    assert not c.core.router.attempts and not c.core.router.jobs and not c.core.lives
+    assert not c.core.router.attempts and not c.core.router.jobs and not c.core.open_requests
     assert not any(seen.out for seen in c.core.router.seen.values())
     assert c.core.counts["answers", "withdrawn"] == 1
 
@@ -139,7 +139,7 @@
         patch.setattr(c.core.router, "handle", fail)
         with pytest.raises(ZeroDivisionError):
             await c.serve()
-    assert not c.core.lives
+    assert not c.core.open_requests
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(c.core.run)
         tasks.start_soon(c.serve)
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -28,7 +28,8 @@
 from zincladder.net import clients as client_side
 from zincladder.net import thrift
 from zincladder.net.caches import Caches
-from zincladder.net.clients import Clients, _Client
+from zincladder.net.client_connection import ClientConnection
+from zincladder.net.clients import Clients
 from zincladder.net.stream import connect
 
 pytestmark = pytest.mark.anyio
@@ -150,9 +151,9 @@
     monkeypatch.setattr("zincladder.net.clients.STAY", 0.01)
     monkeypatch.setattr("zincladder.net.clients.STALL", 0.1)
     monkeypatch.setattr("zincladder.net.clients.IDLE", 0.1 if way is _idle else 60.0)
-    end, body, crossing = _Client.end, bytes(12_000), [request(2)]
+    end, body, crossing = ClientConnection.end, bytes(12_000), [request(2)]
 
-    def ending(self: _Client, *how: Any) -> None:
+    def ending(self: ClientConnection, *how: Any) -> None:
         while crossing:
             sock.sendall(crossing.pop())  # it comes just after the last look
         end(self, *how)
@@ -160,7 +161,7 @@
     async def large(_: StubCache, fetch: Fetch) -> None:
         await fetch.answer(200, "tell=local,rev=aa,since=1", body)
 
-    monkeypatch.setattr(_Client, "end", ending)
+    monkeypatch.setattr(ClientConnection, "end", ending)
     async with world(large) as w:
         with socket.socket() as sock:
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 2048)  # most of the answer stays on its way
@@ -231,7 +232,7 @@
         for one in failed:
             assert answers.count(b"".join(bytes(part) for part in one)) == 1
         kinds = {kind: n for (what, kind), n in cores[0].counts.items() if what == "answers"}
-        assert kinds == {"failed": answers.count(b"handle")} and not cores[0].lives
+        assert kinds == {"failed": answers.count(b"handle")} and not cores[0].open_requests
 
 
 async def test_bytes_that_come_when_the_process_ends_make_its_last_close_no_reset(
@@ -278,7 +279,7 @@
     looks = [0]
     retire = Clients._retire_at_stop
 
-    def counted(self: Clients, client: _Client) -> bool:
+    def counted(self: Clients, client: ClientConnection) -> bool:
         looks[0] += 1
         return retire(self, client)
 
--- a/tests/test_late_attempts.py
+++ b/tests/test_late_attempts.py
@@ -34,8 +34,7 @@
 from zincladder.core.arrival import NOTICED, ArrivalBound, LoopTurns
 from zincladder.core.engine import LEAST_TIME, Core
 from zincladder.net import caches as cache_side
-from zincladder.net import clients as client_side
-from zincladder.net import stream, thrift
+from zincladder.net import client_connection, stream, thrift
 from zincladder.net.stream import unsent
 
 pytestmark = pytest.mark.anyio
@@ -54,8 +53,8 @@
 
 
 def less_is_left_than_a_member_can_be_told(core: Core, _: socket.socket) -> None:
-    (life,) = core.lives.values()
-    core.clock._offset += life.ask.due - core.clock.now() - LEAST_TIME / 2
+    (context,) = core.open_requests.values()
+    core.clock._offset += context.ask.due - core.clock.now() - LEAST_TIME / 2
 
 
 def it_is_answered_and_called_off(core: Core, _: socket.socket) -> None:
@@ -102,7 +101,7 @@
             for stub in w.caches:
                 stub.script = serve
             with anyio.fail_after(5):
-                while cores[0].lives:
+                while cores[0].open_requests:
                     await anyio.sleep(0.001)
         async with client(w) as other:  # once it is served, the stubs have read what was sent before
             await other.ask(trace="f" * 16)
@@ -255,7 +254,7 @@
 
     monkeypatch.setattr(Plain, "ready", full_for_a_while)
     if not told:
-        monkeypatch.setattr(client_side, "newest_byte_age", lambda _: None)
+        monkeypatch.setattr(client_connection, "newest_byte_age", lambda _: None)
     async with world(serve, settings=NO_PROBES) as w:
         with plain(w) as sock:
             sock.sendall(request(1, patience="2000"))
--- a/tests/test_member_links.py
+++ b/tests/test_member_links.py
@@ -492,7 +492,7 @@
             waiting.append(fetch)
 
     def crossing(self: Caches, member: bytes, name: bytes) -> Any:
-        while waiting and cores[0].lives:
+        while waiting and cores[0].open_requests:
             push(waiting.pop(), more)  # it comes just before the next request goes out
         return link_for(self, member, name)
 
--- a/zincladder/__main__.py
+++ b/zincladder/__main__.py
@@ -34,8 +34,8 @@
 from zincladder.discovery.freshness import Freshness
 from zincladder.handover.host import Handover
 from zincladder.net.caches import Caches
+from zincladder.net.client_listener import listener
 from zincladder.net.clients import Clients
-from zincladder.net.door import listener
 from zincladder.net.events import Listed, News, known_news
 from zincladder.net.feed import Feed
 from zincladder.support.rate_limited_log import RateLimitedLog
--- a/zincladder/control/figures.py
+++ b/zincladder/control/figures.py
@@ -25,7 +25,7 @@
             yield f"{name}.{klass}", counted.answers[klass, kind]
     beside = (core.settings.parent_kind, core.settings.origin_kind)
     yield "forwards", counted.forwards
-    yield "outstanding", len(core.lives)
+    yield "outstanding", len(core.open_requests)
     yield "discovered", sum(m.kind not in beside for m in core.members.values())
     yield "ejected", core.avoided()
     yield "sighup_applied", core.counts["reloads", "applied"]
--- a/zincladder/core/engine.py
+++ b/zincladder/core/engine.py
@@ -67,7 +67,7 @@
 
 
 @dataclass(slots=True)
-class Life:
+class RequestContext:
     """What the core keeps of a request while it is owed its answer."""
 
     ask: Ask
@@ -115,7 +115,7 @@
         self.clock = clock or Clock()
         self.members: dict[api.MemberId, api.Member] = {}
         self.purges = Purges()
-        self.lives: dict[int, Life] = {}
+        self.open_requests: dict[int, RequestContext] = {}
         self.counts: Counter[tuple[str, str]] = Counter()
         self.figures = Figures()
         self.figures.keep_classes(self.classes.current, ())
@@ -142,34 +142,34 @@
     async def serve(self, ask: Ask) -> Answer:
         """The life of one request, from its arrival to its one answer. Cancelling it: the client left."""
         number = self._number()
-        life = self.lives[number] = Life(ask)
+        context = self.open_requests[number] = RequestContext(ask)
         try:
-            if not await self._current(life, HELD_PART * (ask.due - self.clock.now())):
-                life.final = life.final or self._out_of_date(ask)
-                self.answered(ask.klass, life.final.kind)
-                return life.final
+            if not await self._current(context, HELD_PART * (ask.due - self.clock.now())):
+                context.final = context.final or self._out_of_date(ask)
+                self.answered(ask.klass, context.final.kind)
+                return context.final
             if self.hold_off is not None and (wait := self._held_off(ask.klass)):
-                life.final = Answer("refused", retry_after=wait)
+                context.final = Answer("refused", retry_after=wait)
                 self.answered(ask.klass, "refused")
-                return life.final
+                return context.final
             # The first point of choice: which member, from where a miss is filled, what is kept.
             self._tell(self._request(number, ask))
-            while life.final is None:
-                if life.due:
+            while context.final is None:
+                if context.due:
                     # One attempt runs in the request's own task; a task for each took a tenth of the time.
-                    life.inline, life.due = life.due, None
-                    await self._attempt(number, life, *life.inline)
-                    life.inline = None
-                elif not life.ends and not await self._news(life):
-                    life.final = Answer("failed")
+                    context.inline, context.due = context.due, None
+                    await self._attempt(number, context, *context.inline)
+                    context.inline = None
+                elif not context.ends and not await self._news(context):
+                    context.final = Answer("failed")
                     self._tell(api.ClientLeft(number))
-                self._take_ends(number, life)
-            self.answered(ask.klass, life.final.kind)
-            return life.final
+                self._take_ends(number, context)
+            self.answered(ask.klass, context.final.kind)
+            return context.final
         finally:
             self._forget(number)
 
-    async def _current(self, life: Life, most: float) -> bool:
+    async def _current(self, context: RequestContext, most: float) -> bool:
         """Waits until the list may be decided by; False if that takes over `most` seconds, or it is answered.
 
         Guards members that drain, purges and members that start cold against a list of an earlier moment.
@@ -183,11 +183,11 @@
         until = monotonic() + most
         while (wait := self.freshness.wait(monotonic())) > 0:
             left = until - monotonic()
-            if left <= 0 or life.final is not None:
+            if left <= 0 or context.final is not None:
                 return False
             with anyio.move_on_after(min(wait, left)):
                 await self._news_of_fleet.wait()
-        return life.final is None
+        return context.final is None
 
     def is_settled(self) -> bool:
         """Whether something could be decided since the start: clients may be sent here."""
@@ -215,8 +215,8 @@
     def give_up(self, asks: Sequence[Ask] | None = None) -> None:
         """Answers these as failed at once, or all that is open: whoever asks cannot wait any longer."""
         these = None if asks is None else {id(ask) for ask in asks}
-        for number, life in self.lives.items():
-            if life.final is None and (these is None or id(life.ask) in these):
+        for number, context in self.open_requests.items():
+            if context.final is None and (these is None or id(context.ask) in these):
                 self._notify(api.ClientLeft(number))
                 self._finish(number, Answer("failed"))
         self.news_of_fleet()  # those that wait for a current list are among them
@@ -234,18 +234,18 @@
         self.counts["answers", kind] += 1
         self.figures.answered(self.classes.names[klass], kind)
 
-    def _take_ends(self, number: int, life: Life) -> None:
-        while life.ends and life.final is None:
-            n, end = life.ends.pop(0)
-            order, _, sent_at = life.out.pop(n)
+    def _take_ends(self, number: int, context: RequestContext) -> None:
+        while context.ends and context.final is None:
+            n, end = context.ends.pop(0)
+            order, _, sent_at = context.out.pop(n)
             served = end.result is api.Result.OK
-            rules = self.classes.rules[life.ask.klass]
+            rules = self.classes.rules[context.ask.klass]
             if rules.effect is api.Effect.KEYED and end.result not in NEVER_RAN:
-                life.repeat_by = min(life.repeat_by, sent_at + rules.window)
+                context.repeat_by = min(context.repeat_by, sent_at + rules.window)
             if end.how is How.TOO_LATE:
                 self._log_too_late(order, end, sent_at)
             if served:
-                life.final = Answer("served", end)
+                context.final = Answer("served", end)
             # Every further point of choice: another attempt, a refusal, a failure, or waiting on.
             self._tell(self._ended(number, n, order, end, sent_at, served))
 
@@ -262,22 +262,24 @@
             behind=round(self.behind, 3),
         )
 
-    async def _news(self, life: Life) -> bool:
+    async def _news(self, context: RequestContext) -> bool:
         """Waits for the end of an attempt or for an answer; False when there is none to wait for."""
-        life.news = anyio.Event()
+        context.news = anyio.Event()
         # Guards rule 1: an attempt ends by its own limit, but a request held without one has none.
         with anyio.CancelScope() as waiting:
-            if not life.out:
-                waiting.deadline = anyio.current_time() + max(0.0, life.ask.due - self.clock.now())
-            await life.news.wait()
-        return bool(life.ends or life.due or life.final or not waiting.cancelled_caught)
+            if not context.out:
+                waiting.deadline = anyio.current_time() + max(0.0, context.ask.due - self.clock.now())
+            await context.news.wait()
+        return bool(context.ends or context.due or context.final or not waiting.cancelled_caught)
 
-    async def _attempt(self, number: int, life: Life, n: int, order: Order, scope: anyio.CancelScope) -> None:
+    async def _attempt(
+        self, number: int, context: RequestContext, n: int, order: Order, scope: anyio.CancelScope
+    ) -> None:
         end = End(How.CALLED_OFF)
         try:
             with scope:
                 await anyio.lowlevel.checkpoint_if_cancelled()  # called off before it began
-                end = await self._carried(life, order)
+                end = await self._carried(context, order)
         except Exception:  # guards all other attempts, which share their task group
             log.exception("attempt failed", trace=order.ask.trace)
             end = End(How.FAULTED, why="a fault of the carrier")
@@ -285,25 +287,27 @@
             # Guards the member's name: where the timer itself is late, its answer may lie here unread.
             silent = 0.0 <= self.clock.now() - order.until <= HALT
             end = End(How.SILENT if silent else How.CALLED_OFF, why="patience")
-        life.ends.append((n, end))
-        if life.inline and life.inline[0] != n:  # a second copy; the request's own task waits for another
-            self._take_ends(number, life)
-            if life.final is not None:
-                _call_off(*life.inline[1:])
-        life.news.set()
-
-    async def _carried(self, life: Life, order: Order) -> End:
-        if await self._current(life, HELD_ATTEMPT):
+        context.ends.append((n, end))
+        if (
+            context.inline and context.inline[0] != n
+        ):  # a second copy; the request's own task waits for another
+            self._take_ends(number, context)
+            if context.final is not None:
+                _call_off(*context.inline[1:])
+        context.news.set()
+
+    async def _carried(self, context: RequestContext, order: Order) -> End:
+        if await self._current(context, HELD_ATTEMPT):
             return await self.carrier.carry(order)
         return End(How.TOO_LATE, why=Hold.OUT_OF_DATE.value)
 
     def _forget(self, number: int) -> None:
         """Closes the books of a request: the module hears of each attempt's end exactly once."""
-        life = self.lives.pop(number)
-        if life.final is None:
+        context = self.open_requests.pop(number)
+        if context.final is None:
             self.counts["answers", "withdrawn"] += 1
             self._notify(api.ClientLeft(number))
-        for n, (order, scope, sent_at) in life.out.items():
+        for n, (order, scope, sent_at) in context.out.items():
             _call_off(order, scope)  # second copies that are still out, or all where the client left
             self._notify(self._ended(number, n, order, End(How.CALLED_OFF), sent_at, True))
 
@@ -362,7 +366,7 @@
 
     def retune(self, settings: api.Settings, names: Sequence[str]) -> None:
         """Other settings from now on. What is open keeps the rules under which it was taken."""
-        held = {life.ask.klass for life in self.lives.values()}
+        held = {context.ask.klass for context in self.open_requests.values()}
         learned = self.classes.take(names, settings.classes, held, self.clock.now())
         self.figures.keep_classes(names, (self.classes.names[n] for n in held))
         self.settings = replace(settings, classes=tuple(self.classes.rules))
@@ -420,9 +424,9 @@
             case api.Get() | api.Look():
                 self._send(action)
             case api.Cancel(request, attempt):
-                life = self.lives.get(request)
-                if life and attempt in life.out:
-                    _call_off(*life.out[attempt][:2])
+                context = self.open_requests.get(request)
+                if context and attempt in context.out:
+                    _call_off(*context.out[attempt][:2])
             case api.Refuse(request, retry_after):
                 self._finish(request, Answer("refused", retry_after=retry_after))
             case api.Fail(request):
@@ -439,33 +443,33 @@
                 log.warning("action not possible here", action=type(action).__name__)
 
     def _finish(self, request: int, answer: Answer) -> None:
-        life = self.lives.get(request)
-        if life and life.final is None:
-            life.final = answer
-            life.news.set()
-            if life.inline:
-                _call_off(*life.inline[1:])
+        context = self.open_requests.get(request)
+        if context and context.final is None:
+            context.final = answer
+            context.news.set()
+            if context.inline:
+                _call_off(*context.inline[1:])
 
     def _send(self, action: api.Get | api.Look) -> None:
-        life = self.lives[action.request]
-        n, life.sends = life.sends, life.sends + 1
-        ask, now = life.ask, self.clock.now()
+        context = self.open_requests[action.request]
+        n, context.sends = context.sends, context.sends + 1
+        ask, now = context.ask, self.clock.now()
         until = min(ask.due, now + (action.time_out or math.inf))
-        order = Order(ask, action.member, until=until, begin_by=life.repeat_by, guard=self)
+        order = Order(ask, action.member, until=until, begin_by=context.repeat_by, guard=self)
         if isinstance(action, api.Get):
             order.source = None if action.source == action.member else action.source
             order.keep, order.max_age, order.join = action.keep, action.max_age, action.join
             order.held_only, order.renew = action.held_only, action.renew
             order.parent_passes = action.parent_passes
         scope = anyio.CancelScope(deadline=anyio.current_time() + max(0.0, until - now) + 1e-3)
-        life.out[n] = (order, scope, now)
+        context.out[n] = (order, scope, now)
         self.figures.asked(action.member, now, self.classes.names[ask.klass])
-        if life.due is None and life.inline is None and len(life.out) == 1:
-            life.due = (n, order, scope)
-            life.news.set()
+        if context.due is None and context.inline is None and len(context.out) == 1:
+            context.due = (n, order, scope)
+            context.news.set()
             return
         assert self._attempts is not None, "a core serves while it runs"
-        self._attempts.start_soon(self._attempt, action.request, life, n, order, scope)
+        self._attempts.start_soon(self._attempt, action.request, context, n, order, scope)
 
     # What may change before an attempt's first byte (the attempt's guard) --------------------------
 
@@ -529,7 +533,9 @@
                     late, last = self.clock.now() - before - TICK, late
                     self.behind = min(late, last)  # once is a moment's halt, twice in a row is too much work
                     if late > HALT:
-                        self._lines.warning("event loop late", late_s=round(late, 3), open=len(self.lives))
+                        self._lines.warning(
+                            "event loop late", late_s=round(late, 3), open=len(self.open_requests)
+                        )
                         await self._catch_up()
 
     async def _catch_up(self) -> None:
--- a/zincladder/dns/server.py
+++ b/zincladder/dns/server.py
@@ -17,7 +17,7 @@
 from zincladder.core.ends import How
 from zincladder.core.engine import Clock
 from zincladder.dns.answers import MOST_SIZE, Answers
-from zincladder.net.door import turn_away
+from zincladder.net.client_listener import turn_away
 from zincladder.net.stream import Ended, Inbox, Outbox, family
 from zincladder.support.rate_limited_log import RateLimitedLog
 
--- a/zincladder/metrics/registry.py
+++ b/zincladder/metrics/registry.py
@@ -130,7 +130,7 @@
                 name, label, _ = COUNTERS[group]
                 yield Sample(name, (front, (label, key)), float(value))
         values = {
-            "open": len(self._core.lives),
+            "open": len(self._core.open_requests),
             "members": len(self._core.members),
             "ready": self._core.ready(),
             "avoided": self._core.avoided(),
--- a/zincladder/net/door.py
+++ b/zincladder/net/client_listener.py
@@ -72,7 +72,7 @@
     came_after: float  # it connected later than this
 
 
-class Door:
+class ClientListener:
     """Takes what waits in the system's queue and hands on what gets a seat."""
 
     def __init__(
--- a/zincladder/net/clients.py
+++ b/zincladder/net/clients.py
@@ -7,7 +7,6 @@
 import socket
 import time
 from collections.abc import Callable, Mapping
-from dataclasses import dataclass, field
 from functools import partial
 from time import monotonic
 
@@ -26,9 +25,10 @@
 from zincladder.core.ends import How
 from zincladder.core.engine import DUE_MARGIN, Answer, Core
 from zincladder.net import protocol, thrift
-from zincladder.net.door import Door
+from zincladder.net.client_connection import ClientConnection, TakenRequest, UnreadAnswers
+from zincladder.net.client_listener import ClientListener
 from zincladder.net.protocol import BadFields
-from zincladder.net.stream import Ended, Inbox, Outbox, newest_byte_age, unread
+from zincladder.net.stream import Ended, Inbox, Outbox, unread
 from zincladder.support.lingering import AT_ONCE, LINGER, lingering_close
 from zincladder.support.rate_limited_log import RateLimitedLog
 
@@ -52,78 +52,6 @@
 log = structlog.get_logger()
 
 
-@dataclass(slots=True, eq=False)
-class _Taken:
-    """One request that was taken from a client."""
-
-    seq: int
-    ask: Ask
-    scope: anyio.CancelScope = field(default_factory=anyio.CancelScope)
-    begun: bool = False
-    back: bool = False  # taken back
-
-
-@dataclass(slots=True, eq=False)
-class _Client:
-    """One connection of a client and the requests that are open on it."""
-
-    sock: socket.socket
-    seat: Seat
-    inbox: Inbox
-    outbox: Outbox
-    arrival: ArrivalBound
-    since: float
-    used_at: float
-    scope: anyio.CancelScope = field(default_factory=anyio.CancelScope)
-    open: dict[int, _Taken] = field(default_factory=dict)
-    room: anyio.Event = field(default_factory=anyio.Event)
-    turn: anyio.Event = field(default_factory=anyio.Event)  # set when it may be read after a wait
-    ended: bool = False
-    spoke: bool = False  # a whole message has come
-    frame_at: float = 0.0  # when the message that is coming began
-    taken_back: int = 0
-    linger: float | None = None  # seconds for which its own end is waited for; None: it has come
-    lingering: anyio.CancelScope = field(default_factory=anyio.CancelScope)  # cancelled, it closes at once
-
-    def end(self, linger: float | None = None) -> None:
-        """Guards what is to come: nothing of this client is passed on from here."""
-        if not self.ended:
-            self.ended, self.linger = True, linger
-            self.scope.cancel()
-
-    def waits(self, taken: _Taken) -> bool:
-        """Whether the client still waits for this request, as its system and what was read say now.
-
-        What it said last may lie unread: the reader's turn comes late where the event loop is late.
-        """
-        if self.ended or taken.back:
-            return False
-        lies = unread(self.sock)
-        here = self.inbox.held()
-        if (lies.data or here) and taken.seq in thrift.withdrawn(here + lies.data, self.inbox.lacking):
-            taken.back = True
-            taken.scope.cancel()
-        if lies.ended:
-            self.end()
-        return not (self.ended or taken.back)
-
-
-class _Unread:
-    """Tells admission of the bytes that one client leaves unread."""
-
-    __slots__ = ("_admission", "_seat", "_size")
-
-    def __init__(self, admission: Admission, seat: Seat) -> None:
-        self._admission, self._seat = admission, seat
-        self._size = 0
-
-    def add(self, change: int) -> None:
-        self._size += change
-        self._admission.unread(self._seat, change)
-        if self._size == 0:
-            self._admission.read_out(self._seat, monotonic())
-
-
 class Clients:
     """The front's service on one listening socket."""
 
@@ -131,12 +59,12 @@
         self, config: Config, core: Core, admission: Admission, listening: socket.socket | None = None
     ) -> None:
         self._core, self._config, self._admission = core, config, admission
-        self._clients: dict[Seat, _Client] = {}
+        self._clients: dict[Seat, ClientConnection] = {}
         self._traces: set[str] = set()  # of the requests that are open
         self._accepting = anyio.CancelScope()
         self._warn = RateLimitedLog()
         self._tasks: TaskGroup | None = None
-        self._door = Door(
+        self._listener = ClientListener(
             config.listen,
             admission,
             lambda: self._config.sockets,
@@ -152,22 +80,22 @@
     def use(self, config: Config) -> None:
         """A configuration that was read again: its limits hold from now on."""
         self._config = config
-        self._door.measure()
+        self._listener.measure()
 
     @property
     def listener(self) -> socket.socket:
-        return self._door.listener
+        return self._listener.listener
 
     @property
     def address(self) -> tuple[str, int]:
-        return self._door.address
+        return self._listener.address
 
     async def run(self) -> None:
         """Accepts clients until `stop` has let the last request be answered."""
         self._core.on_tick = self._look
         async with anyio.create_task_group() as self._tasks:
             self._tasks.start_soon(self._sweep)
-            await self._door.run(self._accepting)
+            await self._listener.run(self._accepting)
             await self._empty(self._until)
             self._core.give_up()  # these answers are owed too, and nobody waits for their requests any longer
             await self._empty(self._until + LEAVING)
@@ -191,12 +119,14 @@
         self._until = monotonic() + min(MOST_STAY, longest) + LAST
         log.info("stopping", open=len(self._traces), clients=len(self._clients))
         if self.succeeded():
-            self._door.hand_on = True
+            self._listener.hand_on = True
         else:
             await anyio.sleep(STAY)
         self._accepting.cancel()
 
-    def _retire(self, client: _Client, why: str = How.IDLE.name.lower(), linger: float = LINGER) -> bool:
+    def _retire(
+        self, client: ClientConnection, why: str = How.IDLE.name.lower(), linger: float = LINGER
+    ) -> bool:
         """Closes a connection on which nothing is open, unwritten or unread; whether it was one.
 
         Guards a request that is on its way: it is looked for at the last moment, and the end is told at once.
@@ -218,7 +148,7 @@
         client.end(linger)
         return True
 
-    def _retire_at_stop(self, client: _Client) -> bool:
+    def _retire_at_stop(self, client: ClientConnection) -> bool:
         """`_retire`, but a client that has just connected gets the time to send its first request."""
         if not client.spoke and monotonic() - client.since < SETTLED:
             return False
@@ -227,9 +157,9 @@
     def _seat(self, sock: socket.socket, decision: Decision, came_after: float) -> None:
         now = monotonic()
         seat = self._admission.seat(decision, now)
-        outbox = Outbox(sock, _Unread(self._admission, seat))
+        outbox = Outbox(sock, UnreadAnswers(self._admission, seat))
         arrival = ArrivalBound(self._core.turns, came_after)
-        client = self._clients[seat] = _Client(sock, seat, Inbox(sock), outbox, arrival, now, now)
+        client = self._clients[seat] = ClientConnection(sock, seat, Inbox(sock), outbox, arrival, now, now)
         assert self._tasks is not None
         self._tasks.start_soon(self._client, client)
 
@@ -249,7 +179,7 @@
         self._core.counts["client_ends", name] += 1
         self._end(client, AT_ONCE)
 
-    def _end(self, client: _Client, linger: float) -> None:
+    def _end(self, client: ClientConnection, linger: float) -> None:
         """This side's own end, whatever is open: each request that was read gets its one answer first."""
         if client.ended:
             return
@@ -270,7 +200,7 @@
                 client.turn.set()
         for seat, why in found.end:
             self._evict(seat, why)
-        self._door.look()
+        self._listener.look()
 
     async def _sweep(self) -> None:
         """Ends connections that say nothing, stop inside a message, or are used no more."""
@@ -282,7 +212,7 @@
                 used = time.process_time()
                 self._admission.measured(used - cpu)
                 cpu, measured_at = used, now
-                self._door.measure()
+                self._listener.measure()
             for c in [c for c in self._clients.values() if not c.ended]:
                 if self._said_too_little(c, now):
                     self._warn.warning("client sent no whole message", open=len(c.open))
@@ -292,7 +222,7 @@
                 elif now - c.used_at > IDLE:
                     self._retire(c)
 
-    def _said_too_little(self, client: _Client, now: float) -> bool:
+    def _said_too_little(self, client: ClientConnection, now: float) -> bool:
         """Whether a client owes the first message, or the rest of one, for too long.
 
         Not while something of it lies unread: after a halt of this process this look goes before the reader.
@@ -301,7 +231,7 @@
         silent = not client.spoke and now - client.since > FIRST
         return (stopped or silent) and not unread(client.sock, 1).data
 
-    async def _client(self, client: _Client) -> None:
+    async def _client(self, client: ClientConnection) -> None:
         sock = client.sock
         try:
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -336,7 +266,7 @@
                 sock.close()
                 self._admission.gone(client.seat, monotonic())
 
-    async def _writer(self, client: _Client) -> None:
+    async def _writer(self, client: ClientConnection) -> None:
         try:
             await client.outbox.run(STALL)
         except Ended as end:
@@ -346,7 +276,7 @@
                 self._warn.warning("client does not read", why=str(end), open=len(client.open))
             client.end()
 
-    async def _reader(self, client: _Client, tasks: TaskGroup) -> None:
+    async def _reader(self, client: ClientConnection, tasks: TaskGroup) -> None:
         inbox, last, turn = client.inbox, 0, 0
         while True:
             while client.outbox.size > UNREAD_AT_MOST:
@@ -360,7 +290,7 @@
                 # Guards a client that comes again as soon as it is refused: when the loop is late, the next
                 # look from outside would always find its next request.
                 return
-            await self._noticed(client)
+            await client.next_message()
             came, noticed = self._core.clock.now(), monotonic()  # a halt between the two makes it older
             if not self._admission.may_read(client.seat, noticed):
                 # Guards the loop: what is over its source's share stays unread, at last in the client's
@@ -405,35 +335,18 @@
                 last = call.seq
                 self._take(client, call, came - self._age(client, noticed), tasks)
 
-    async def _noticed(self, client: _Client) -> None:
-        """Waits for the next message to begin."""
-        if client.inbox.buffered():
-            return  # it came with the one before
-        client.arrival.waits(monotonic())
-        await client.inbox.some()
-        now = monotonic()
-        client.arrival.noticed(now)
-        client.arrival.emptied(now)
-
-    def _age(self, client: _Client, noticed: float) -> float:
+    def _age(self, client: ClientConnection, noticed: float) -> float:
         """For how many seconds the request that was just read had lain unread when it was noticed.
 
         Guards members and clients against the time of a request that is counted from when it was read.
         """
-
-        def newest() -> float | None:
-            if client.inbox.buffered() or unread(client.sock, 1).data:
-                return None  # of a later message
-            age = newest_byte_age(client.sock)
-            return None if age is None else age - (monotonic() - noticed)
-
-        age = client.arrival.age(noticed, newest)
+        age = client.age(noticed)
         if age > NOTICED:
             self._core.counts["requests", "lay_unread"] += 1
             self._warn.warning("request lay unread", age_s=round(age, 3), open=len(self._traces))
         return age
 
-    def _withdraw(self, client: _Client, seq: int) -> None:
+    def _withdraw(self, client: ClientConnection, seq: int) -> None:
         taken = client.open.pop(seq, None)
         if taken is None:  # it crossed the answer, which stands
             return
@@ -445,7 +358,7 @@
         if client.taken_back > TAKEN_BACK_MOST:
             raise Ended(How.GARBLED, f"{client.taken_back} requests taken back before they began")
 
-    def _take(self, client: _Client, call: thrift.Call, came: float, tasks: TaskGroup) -> None:
+    def _take(self, client: ClientConnection, call: thrift.Call, came: float, tasks: TaskGroup) -> None:
         try:
             ask = self._ask(call.fields, call.body, came)
         except BadFields as fault:
@@ -474,7 +387,7 @@
             client.outbox.put(_reply(call.seq, Answer("refused", retry_after=pause)))
             return
         self._admission.opened(client.seat)
-        taken = client.open[call.seq] = _Taken(call.seq, ask)
+        taken = client.open[call.seq] = TakenRequest(call.seq, ask)
         ask.wanted = partial(client.waits, taken)
         self._traces.add(ask.trace)
         tasks.start_soon(self._request, client, call.seq, ask, taken)
@@ -502,7 +415,7 @@
             raise BadFields(f"'trace' is the id of a request that is open: {ask.trace}")
         return ask
 
-    async def _request(self, client: _Client, seq: int, ask: Ask, taken: _Taken) -> None:
+    async def _request(self, client: ClientConnection, seq: int, ask: Ask, taken: TakenRequest) -> None:
         served, size = False, 0
         try:
             if taken.back or client.ended:
