--- a/zincladder/metrics/registry.py
+++ b/zincladder/metrics/registry.py
@@ -20,6 +20,11 @@
         "outcome",
         "Requests that waited for a current list, and that were refused for want of one.",
     ),
+    "requests": (
+        "zincladder_requests_read_late_total",
+        "why",
+        "Requests that had lain unread for over 50 ms: the process stood still, or is short of its core.",
+    ),
     "probes": ("zincladder_probes_total", "end", "Load probes by how they ended."),
     "clients": ("zincladder_client_connections_total", "event", "Client connections taken."),
     "client_ends": ("zincladder_client_ends_total", "end", "Client connections by how they ended."),
