Leave the process's own halts out of what a member took for an answer

Cause: the latency of an answer that lay unread during a halt held the halt, the router judged sending times by it, and as every later request was refused nothing corrected that: the trigger ends and the state stays. Change: Core counts halts (turns over 0.1 s late, on the monotonic clock) and takes them off an attempt's latency. The new test fails without (0.603 s told for an answer that took none).

--- a/tests/test_late_attempts.py
+++ b/tests/test_late_attempts.py
@@ -29,10 +29,12 @@
 from tests.test_endings import cores_of, frame, on_connect, plain, request, some
 from tests.test_front import cut
 from tests.test_member_links import LARGE, order, wire
+from zincladder import interface as api
 from zincladder.admission.model import Decision, Verdict, Why
 from zincladder.admission.plain import Plain
 from zincladder.core.arrival import NOTICED, ArrivalBound, LoopTurns
 from zincladder.core.engine import LEAST_TIME, Core
+from zincladder.decide import Router
 from zincladder.net import caches as cache_side
 from zincladder.net import client_connection, stream, thrift
 from zincladder.net.stream import unsent
@@ -313,6 +315,29 @@
         assert {seen.failing for seen in cores[0].router.seen.values()} == {0.0}
 
 
+async def test_a_halt_of_the_process_is_no_part_of_what_a_member_took(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    # else the time of every later request looks too short for the sending, and is refused
+    told, halted = list[api.Event](), [0.6]
+    handle = Router.handle
+
+    def heard(self: Router, event: api.Event, now: float) -> list[api.Action]:
+        told.append(event)
+        return handle(self, event, now)
+
+    async def answers_and_halts(_: StubCache, fetch: Fetch) -> None:
+        answer_at_once(fetch)
+        time.sleep(halted.pop())
+
+    monkeypatch.setattr(Router, "handle", heard)
+    async with world(answers_and_halts, settings=NO_PROBES) as w, client(w) as c:
+        await c.ask()
+        assert (await c.reply()).kind == "served"
+    (end,) = [event for event in told if isinstance(event, api.AttemptEnded)]
+    assert end.result is api.Result.OK and end.latency < 0.3
+
+
 @contextlib.asynccontextmanager
 async def halting(act: Callable[[], None]) -> AsyncIterator[None]:
     """Lets the process stand still past every wait, between its look at all sockets and its timers.
--- a/zincladder/core/attempt.py
+++ b/zincladder/core/attempt.py
@@ -93,6 +93,7 @@
     until: float = 0.0  # when the wait for it ends
     begin_by: float = math.inf  # its first byte goes before this: repeats are dropped for that long only
     called_off: bool = False  # its cancellation may still wait for its turn of the event loop
+    halted_before: float = 0.0  # seconds in which the process had stood still when it was ordered
     guard: Guard = NO_GUARD
 
     def hold(self) -> Hold | None:
--- a/zincladder/core/engine.py
+++ b/zincladder/core/engine.py
@@ -128,6 +128,7 @@
         self.look_at_news: Callable[[], None] = lambda: None
         self._news_of_fleet = anyio.Event()
         self.turns = LoopTurns(monotonic())
+        self.halted = 0.0  # seconds so far in which the process stood still
         self.behind = 0.0  # seconds by which the event loop was late at its last two looks
         self._lines = RateLimitedLog()
         self._requests = 0
@@ -357,7 +358,8 @@
     ) -> api.AttemptEnded:
         self.counts["attempts", end.how.name.lower()] += 1
         self.figures.ended(order.member, end.how)
-        latency = self.clock.now() - sent_at
+        # Guards the member's name, and what is judged of sending times: this process's halts are not its own.
+        latency = max(0.0, self.clock.now() - sent_at - (self.halted - order.halted_before))
         return api.AttemptEnded(
             number, n, order.member, end.result, latency, closed, end.note, end.fill_wait, end.report
         )
@@ -456,6 +458,7 @@
         ask, now = context.ask, self.clock.now()
         until = min(ask.due, now + (action.time_out or math.inf))
         order = Order(ask, action.member, until=until, begin_by=context.repeat_by, guard=self)
+        order.halted_before = self.halted
         if isinstance(action, api.Get):
             order.source = None if action.source == action.member else action.source
             order.keep, order.max_age, order.join = action.keep, action.max_age, action.join
@@ -528,11 +531,12 @@
                 if self.on_tick is not None:
                     self.on_tick()
                 if not self._probes:
-                    before = self.clock.now()
+                    before = monotonic()
                     await anyio.sleep(TICK)
-                    late, last = self.clock.now() - before - TICK, late
+                    late, last = monotonic() - before - TICK, late
                     self.behind = min(late, last)  # once is a moment's halt, twice in a row is too much work
                     if late > HALT:
+                        self.halted += late
                         self._lines.warning(
                             "event loop late", late_s=round(late, 3), open=len(self.open_requests)
                         )
