Bound when a connection came also behind a flood and at the stop

Found by reading the change again: while connections are turned away one after the other, and for what is taken after the listener's last wait, the bound on when a connection came was that of the last wait, however long ago; where the system does not tell the age of what lies unread, its request would have been refused. Change: ClientListener notes each wait.

--- a/tests/test_late_attempts.py
+++ b/tests/test_late_attempts.py
@@ -20,6 +20,7 @@
 import struct
 import time
 from collections.abc import AsyncIterator, Callable
+from time import monotonic
 
 import anyio
 import pytest
@@ -36,13 +37,16 @@
 from zincladder.core.engine import LEAST_TIME, Core
 from zincladder.decide import Router
 from zincladder.net import caches as cache_side
-from zincladder.net import client_connection, stream, thrift
+from zincladder.net import client_connection, clients, stream, thrift
+from zincladder.net.client_listener import ClientListener
+from zincladder.net.clients import Clients
 from zincladder.net.stream import unsent
 
 pytestmark = pytest.mark.anyio
 PATIENCE = 1.0  # seconds of the request that is not to be sent
 PAGE_PATIENCE = 1.35  # seconds that the router has with a page's cache
 WAIT = 0.05  # seconds for which a peer may be silent
+LISTENS = socket.SOL_SOCKET, socket.SO_ACCEPTCONN
 NO_PROBES = SETTINGS | {"ceilings": SETTINGS["ceilings"] | {"probes": False}}  # only attempts connect
 Act = Callable[[Core, socket.socket], None]
 
@@ -267,6 +271,57 @@
         assert int(fetch.fields["limit"]) <= 2000 - 1000 * waited + 1000 * NOTICED
 
 
+@pytest.fixture
+def connected_after(monkeypatch: pytest.MonkeyPatch) -> list[float]:
+    """For each connection that gets a seat, how long it may have waited at most."""
+    found = list[float]()
+    seat = Clients._seat
+
+    def seated(self: Clients, sock: socket.socket, decision: Decision, came_after: float) -> None:
+        found.append(monotonic() - came_after)
+        seat(self, sock, decision, came_after)
+
+    monkeypatch.setattr(Clients, "_seat", seated)
+    return found
+
+
+async def test_a_connection_behind_others_that_are_turned_away_is_new(
+    connected_after: list[float], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    admit = ClientListener._admit
+
+    async def turns_away(self: ClientListener) -> bool:
+        return await admit(self) or True
+
+    monkeypatch.setattr(ClientListener, "_admit", turns_away)
+    async with world(serve) as w:
+        await anyio.sleep(0.3)
+        with plain(w) as sock:
+            sock.sendall(STATUS)
+            await some(sock)
+    assert connected_after[0] < 0.2
+
+
+async def test_a_connection_that_is_taken_at_the_stop_is_new(
+    connected_after: list[float], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    wait = anyio.wait_readable
+
+    async def misses_connections(sock: socket.socket) -> None:
+        await (anyio.sleep_forever() if sock.getsockopt(*LISTENS) else wait(sock))
+
+    monkeypatch.setattr(anyio, "wait_readable", misses_connections)
+    monkeypatch.setattr(clients, "STAY", 0.0)
+    async with world(serve) as w:
+        await anyio.sleep(0.3)
+        with plain(w):
+            w.stopping.set()
+            with anyio.fail_after(5):
+                while not connected_after:
+                    await anyio.sleep(0.001)
+    assert connected_after[0] < 0.2
+
+
 async def test_the_system_tells_the_age_of_what_lies_unread() -> None:
     with (
         socket.create_server(("127.0.0.1", 0)) as listening,
--- a/zincladder/net/client_listener.py
+++ b/zincladder/net/client_listener.py
@@ -109,15 +109,17 @@
         try:
             with accepting:
                 while True:
-                    if await self._admit():
+                    turned = await self._admit()
+                    self._queue.waits(monotonic())
+                    if turned:
                         # Guards the loop: whoever is turned away comes again at once, and a wake-up for each
                         # costs more than the turning away. They come in handfuls; nobody waits for long.
                         await anyio.sleep(WAIT)
                     else:
-                        self._queue.waits(monotonic())
                         await anyio.wait_readable(self.listener)
-                        self._queue.noticed(monotonic())
+                    self._queue.noticed(monotonic())
             if not self.hand_on:
+                self._queue.noticed(monotonic())
                 await self._admit()
         finally:
             self.listener.close()
