Count a halt between two waits of the core as well

A stop that falls between the core's wait and its next was not counted as a halt. Change: halts are counted from turn to turn.

--- a/zincladder/core/engine.py
+++ b/zincladder/core/engine.py
@@ -520,7 +520,7 @@
 
     async def run(self) -> None:
         """Makes attempts and probes and fires timers until it is cancelled."""
-        late = 0.0
+        late, turned_at = 0.0, monotonic()
         async with anyio.create_task_group() as self._attempts:
             while True:
                 self.turns.turned(monotonic())
@@ -533,12 +533,14 @@
                 if not self._probes:
                     before = monotonic()
                     await anyio.sleep(TICK)
-                    late, last = monotonic() - before - TICK, late
+                    now = monotonic()
+                    late, last = now - before - TICK, late
                     self.behind = min(late, last)  # once is a moment's halt, twice in a row is too much work
-                    if late > HALT:
-                        self.halted += late
+                    halt, turned_at = now - turned_at - TICK, now  # also one between two waits
+                    if halt > HALT:
+                        self.halted += halt
                         self._lines.warning(
-                            "event loop late", late_s=round(late, 3), open=len(self.open_requests)
+                            "event loop late", late_s=round(halt, 3), open=len(self.open_requests)
                         )
                         await self._catch_up()
 
