Give front processes of the tests ports that the system gives to nobody

Traced by its log: 'Address already in use' at its operators' address. free() asked the system for a port and gave it back; until the front had started, a connection of another process got it.

--- a/tests/test_operating_day.py
+++ b/tests/test_operating_day.py
@@ -23,6 +23,7 @@
 import pytest
 
 from tests.conftest import ORIGIN_MEMBER, Driver, cache, finals, get, sends, settings
+from tests.processes import free_port
 from tests.stands import (
     SETTINGS,
     Client,
@@ -294,7 +295,7 @@
         more = {
             "RELAY_CONFIG": str(path),
             "TMPDIR": str(folder),
-            "RELAY_CONTROL": f"127.0.0.1:{free()}",
+            "RELAY_CONTROL": f"127.0.0.1:{free_port()}",
         } | environ
         self.path, self.control = path, more["RELAY_CONTROL"]
         self.log = folder / f"log{len(list(folder.glob('log*')))}"
@@ -330,12 +331,6 @@
             return await anyio.to_thread.run_sync(self.process.wait)
 
 
-def free() -> int:
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return int(sock.getsockname()[1])
-
-
 def with_classes(*classes: dict[str, Any], **ceilings: Any) -> dict[str, Any]:
     return SETTINGS | {
         "categories": [*SETTINGS["categories"], *classes],
@@ -357,7 +352,7 @@
             await tasks.start(stub.run)
         await tasks.start(coordinator.run)
         await tasks.start(moved.run)
-        listen = f"127.0.0.1:{free()}"
+        listen = f"127.0.0.1:{free_port()}"
         plain = configuration([c.member() for c in caches], coordinator.port) | {"listen": listen}
         front = Front(tmp_path, plain)
         try:
@@ -407,10 +402,10 @@
     tmp_path: Path,
 ) -> None:
     # nine in ten are ready within 10 s; idle clients take what descriptors they get as soon as one listens
-    where = ("127.0.0.1", free())
+    where = ("127.0.0.1", free_port())
     listen = f"{where[0]}:{where[1]}"
-    member = StubCache("s-00000001", 0, port=free()).member()
-    config = configuration([member], free(), limits={"sockets": 16}) | {"listen": listen}
+    member = StubCache("s-00000001", 0, port=free_port()).member()
+    config = configuration([member], free_port(), limits={"sockets": 16}) | {"listen": listen}
 
     def filled(crowd: list[socket.socket]) -> bool:
         with contextlib.suppress(OSError):
@@ -481,7 +476,7 @@
     async with anyio.create_task_group() as tasks:
         await tasks.start(cache_.run)
         await tasks.start(origin.run)
-        where = ("127.0.0.1", free())
+        where = ("127.0.0.1", free_port())
         config = configuration([cache_.member(), origin.member()]) | {"listen": f"{where[0]}:{where[1]}"}
         fronts = [Front(tmp_path, config)]
         storm = None
@@ -526,7 +521,7 @@
 
 
 async def test_an_upgrade_takes_along_all_that_an_operators_file_turns_on(tmp_path: Path) -> None:
-    dns, metrics, path = free(), free(), tmp_path / "c.sock"
+    dns, metrics, path = free_port(), free_port(), tmp_path / "c.sock"
     operator = tmp_path / "operator.toml"
     operator.write_text(
         f'[dns]\nlisten = "127.0.0.1:{dns}"\nzone = "example.org"\n[[dns.host]]\nname = "p.example.org"\n'
@@ -534,7 +529,7 @@
         "[admission]\n"
     )
     member = StubCache("s-000000b0", 2, port=1).member()
-    config = configuration([member]) | {"listen": f"127.0.0.1:{free()}"}
+    config = configuration([member]) | {"listen": f"127.0.0.1:{free_port()}"}
     fronts = [Front(tmp_path, config, ZINCLADDER_OPERATOR=str(operator))]
     ask = [sys.executable, "-m", "zincladder", "admission", "--socket", str(path), "top"]
     try:
@@ -554,7 +549,7 @@
 
 
 async def test_a_meeting_place_that_another_version_took_is_left_to_it(tmp_path: Path) -> None:
-    where = f"127.0.0.1:{free()}"
+    where = f"127.0.0.1:{free_port()}"
     front = Front(tmp_path, configuration([StubCache("s-000000b0", 2, port=1).member()]) | {"listen": where})
     path, other = tmp_path / f"zincladder-{where.replace(':', '-')}.sock", tmp_path / "other"
     try:
@@ -569,7 +564,7 @@
 
 
 async def test_a_newcomer_that_dies_leaves_the_old_one_all_and_the_next_meets_it(tmp_path: Path) -> None:
-    where = f"127.0.0.1:{free()}"
+    where = f"127.0.0.1:{free_port()}"
     config = configuration([StubCache("s-000000b0", 2, port=1).member()]) | {"listen": where}
     fronts = [Front(tmp_path, config)]
     try:
@@ -609,7 +604,7 @@
 
 @pytest.mark.parametrize("left", ["torn", "dead", "folder"])
 async def test_what_a_killed_process_left_behind_harms_nothing(tmp_path: Path, left: str) -> None:
-    port = free()
+    port = free_port()
     path = tmp_path / f"zincladder-127.0.0.1-{port}.sock"
     if left == "torn":
         path.write_bytes(b"{")
@@ -666,7 +661,7 @@
                 await anyio.lowlevel.checkpoint()
 
             monkeypatch.setattr(anyio, "sleep", sleep)
-            await Feed(("127.0.0.1", free()), 1, lambda news: None, seed).run()
+            await Feed(("127.0.0.1", free_port()), 1, lambda news: None, seed).run()
     first, second = tries[1], tries[2]
     assert len(first) == len(second) == 6 and not set(first) & set(second)
     assert 0.2 <= first[-1] <= 0.6 and all(0.02 < s < 0.7 for s in first + second)
--- a/tests/test_restart_soak.py
+++ b/tests/test_restart_soak.py
@@ -21,8 +21,9 @@
 import anyio.abc
 import pytest
 
+from tests.processes import free_port
 from tests.stands import Client, Coordinator, Fetch, StubCache, configuration, serve
-from tests.test_operating_day import Front, free
+from tests.test_operating_day import Front
 from tests.test_watch import frame, until
 
 pytestmark = pytest.mark.anyio
@@ -125,7 +126,7 @@
         self.parents = [StubCache(f"s-{n:08x}", 1, self.script) for n in range(0xA0, 0xA4)]
         self.origin = StubCache("s-000000b0", 2, self.script)
         self.coordinator = CrowdedCoordinator(random=self.random, note=self.note)
-        self.where = ("127.0.0.1", free())
+        self.where = ("127.0.0.1", free_port())
         self.sent: list[Sent] = []
         self.front: Front | None = None
         self.broken: list[str] = []
--- a/tests/test_restart_view.py
+++ b/tests/test_restart_view.py
@@ -30,6 +30,7 @@
 import dns.rcode
 import pytest
 
+from tests.processes import free_port
 from tests.stands import (
     Client,
     Coordinator,
@@ -44,7 +45,7 @@
     world,
 )
 from tests.test_endings import cores_of
-from tests.test_operating_day import Front, free
+from tests.test_operating_day import Front
 from tests.test_watch import frame, until
 from zincladder.core.engine import Core
 from zincladder.discovery.freshness import ANSWER_LIMIT, MOST_TRIES, START_LIMIT, Freshness, Phase
@@ -128,7 +129,7 @@
     async with anyio.create_task_group() as tasks:
         await fleet.run(tasks)
         fleet.coordinator.events.append((2, *change.event(fleet)))
-        where = ("127.0.0.1", free())
+        where = ("127.0.0.1", free_port())
         config = configuration([stub.member() for stub in fleet.stubs], fleet.coordinator.port)
         front = Front(folder, config | {"listen": f"{where[0]}:{where[1]}"})
         try:
@@ -219,7 +220,7 @@
     fleet.may_answer.set()
     async with anyio.create_task_group() as tasks:
         await fleet.run(tasks)
-        where = ("127.0.0.1", free())
+        where = ("127.0.0.1", free_port())
         config = configuration([stub.member() for stub in fleet.stubs], fleet.coordinator.port)
         front = Front(tmp_path, config | {"listen": f"{where[0]}:{where[1]}"})
         try:
--- a/tests/test_stalled_front.py
+++ b/tests/test_stalled_front.py
@@ -22,9 +22,10 @@
 import anyio.abc
 import pytest
 
+from tests.processes import free_port
 from tests.stands import Client, Fetch, StubCache, configuration
 from tests.test_endings import request as call
-from tests.test_operating_day import Front, free
+from tests.test_operating_day import Front
 from zincladder.net.clients import FIRST, STALL
 
 pytestmark = pytest.mark.anyio
@@ -126,7 +127,7 @@
         self.caches = [StubCache(f"s-{n:08x}", 0, self.member) for n in range(1, 5)]
         self.stubs = [*self.caches, StubCache("s-000000a0", 1, self.member)]
         self.stubs.append(StubCache("s-000000b0", 2, self.member))
-        self.where = ("127.0.0.1", free())
+        self.where = ("127.0.0.1", free_port())
         self.folder = folder
 
     async def member(self, stub: StubCache, fetch: Fetch) -> None:
