--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,79 +1,82 @@
-"""A front with `/metrics` that is scraped, and some of whose new connections from scrapers are reset."""
+"""An upgrade of a front whose operator's file has a spool for remote write."""
 
 from __future__ import annotations
 
 import asyncio
 import contextlib
-import socket
-import struct
+import signal
+import time
 from pathlib import Path
 
 from review.common.clients import Clients
 from review.common.platform import Platform, Record
-from review.common.processes import CannotRunError, Front, free_port, run_case
+from review.common.processes import Front, free_port, run_case
 
 REQUESTS_PER_SECOND = 36.0  # of one front: about 110 a second for three
-SECONDS_BEFORE, RESETS, SECONDS_AFTER = 4.0, 3, 3.0
-SCRAPE_INTERVAL_SECONDS = 1.0
-RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # of SO_LINGER: the close sends a reset
+# The sample's push interval is 15 s. The upgrade begins 11.5 s after the start, so that one push falls into
+# the time in which both processes run; with a shorter interval any upgrade would do.
+PUSH_INTERVAL_SECONDS = 15
+SECONDS_BEFORE, OVERLAP_SECONDS, SECONDS_AFTER = 11.5, 5.0, 3.0  # the page allows 6 s until SIGTERM
 
 
-async def scrape(record: Record, port: int) -> None:
-    """Fetches the metrics once a second and reads the whole answer."""
-    while True:
-        with contextlib.suppress(OSError, asyncio.IncompleteReadError):
-            reader, writer = await asyncio.open_connection("127.0.0.1", port)
-            writer.write(b"GET /metrics HTTP/1.1\r\nHost: front\r\n\r\n")
-            answer = await reader.read()
-            writer.close()
-            record.write("scrape:", answer.partition(b"\r\n")[0].decode(), len(answer), "bytes")
-        await asyncio.sleep(SCRAPE_INTERVAL_SECONDS)
+async def receive(record: Record, port: int) -> asyncio.Server:
+    """A remote-write receiver that takes every push at once."""
 
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+            head = (await reader.readuntil(b"\r\n\r\n")).decode()
+            length = next(line for line in head.splitlines() if line.lower().startswith("content-length"))
+            body = await reader.readexactly(int(length.split(":")[1]))
+            record.write("receiver takes a push of", len(body), "bytes")
+            writer.write(b"HTTP/1.1 204 No Content\r\nConnection: close\r\n\r\n")
+            await writer.drain()
+        writer.close()
 
-def reset_new_connection(record: Record, port: int) -> None:
-    """Connects, and resets the connection at once."""
-    try:
-        with socket.create_connection(("127.0.0.1", port), 1.0) as sock:
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
-        record.note("a new connection to /metrics is reset")
-    except OSError as error:
-        record.note("no connection to /metrics:", error)
+    return await asyncio.start_server(serve, "127.0.0.1", port)
 
 
 async def case(record: Record, folder: Path, trouble: bool) -> bool:
     platform = await Platform.start(record)
-    listen, metrics = free_port(), free_port()
+    listen, receiver_port = free_port(), free_port()
+    await receive(record, receiver_port)
     config = platform.configuration(folder, listen)
     operator = folder / "operator.toml"
-    operator.write_text(f'[metrics]\nlisten = "127.0.0.1:{metrics}"\n')
-    front = Front("front", record, folder, config, operator)
+    operator.write_text(
+        f'[remote_write]\nurl = "http://127.0.0.1:{receiver_port}/api/v1/write"\n'
+        f'every_s = {PUSH_INTERVAL_SECONDS}\nspool = "{folder}/spool"\n'
+    )
+    old, new = (Front(name, record, folder, config, operator) for name in ("old", "new"))
     clients = Clients(platform, listen)
-    scraper = asyncio.create_task(scrape(record, metrics))
+    ended_by_itself = False
     try:
-        await front.start(folder / "tmp")
-        await front.until_ready()
-        duration = SECONDS_BEFORE + RESETS + SECONDS_AFTER
+        await old.start(folder / "tmp")
+        await old.until_ready()
+        duration = SECONDS_BEFORE + OVERLAP_SECONDS + SECONDS_AFTER
         load = asyncio.create_task(clients.load(REQUESTS_PER_SECOND, duration))
         await asyncio.sleep(SECONDS_BEFORE)
-        if front.status is not None:
-            raise CannotRunError("the front ended before the disruption")
-        for _ in range(RESETS):
-            if trouble and front.status is None:
-                reset_new_connection(record, metrics)
-            await asyncio.sleep(1.0)
+        if trouble:
+            await new.start(folder / "tmp")
+            await new.until_ready()
+        told_at = time.time() + OVERLAP_SECONDS
+        while time.time() < told_at and old.status is None:
+            await asyncio.sleep(0.02)
+        ended_by_itself = old.status is not None
+        if ended_by_itself:
+            record.note("the old process has ended by itself with status", old.status)
+        elif trouble:
+            old.signal(signal.SIGTERM)
         await load
         await clients.finish()
-        ended_by_itself = front.status is not None
-        if ended_by_itself:
-            record.note("the front has ended by itself with status", front.status)
-        status = await front.end()
+        if trouble:
+            await new.end()
+        status = await old.end()
     finally:
-        scraper.cancel()
-        if front.process is not None:
-            if front.status is None:
-                front.process.kill()
-                await front.process.wait()
-            front.copy_log()
+        for front in (old, new):
+            if front.process is not None:
+                if front.status is None:
+                    front.process.kill()
+                    await front.process.wait()
+                front.copy_log()
     lost = clients.lost()
     for request in lost:
         record.write("lost:", request.trace, request.fields["route"], request.outcome,
--- a/review/common/clients.py
+++ b/review/common/clients.py
@@ -18,7 +18,7 @@
 MAX_OPEN = 32  # requests of one connection
 IDLE_CLOSE_SECONDS = 4.0  # clients close connections that are idle for so long
 CROSSING_SECONDS = 0.05  # a request that crosses the front's close goes again on a new connection, once
-PATIENCE_MS = {"video": 6000, "page": 2500, "booking": 3000}
+PATIENCE_MS = {"video": 6000, "page": 2500, "booking": 3000, "stamp": 2500}
 # Shares of the requests, from the brief.
 SHARES = {"video": 0.56, "page": 0.405, "booking": 0.035}
 ANSWER_SLACK_SECONDS = 0.55  # 50 ms, and the half second in which an answer earns nothing and is not lost
