Review case 2: let the time between the new process's yes and SIGTERM be set

Change: OVERLAP_S sets the time between the two; the default, 5 s, and the time of the upgrade are as they were.

--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,9 +1,13 @@
-"""An upgrade of a front whose operator's file has a spool for remote write."""
+"""An upgrade of a front whose operator's file has a spool for remote write.
+
+`OVERLAP_S=1` sends SIGTERM 1 s after the new process says yes, and begins the upgrade later.
+"""
 
 from __future__ import annotations
 
 import asyncio
 import contextlib
+import os
 import signal
 import time
 from pathlib import Path
@@ -13,10 +17,11 @@
 from review.common.processes import Front, free_port, run_case
 
 REQUESTS_PER_SECOND = 36.0  # of one front: about 110 a second for three
+OVERLAP_SECONDS = float(os.environ.get("OVERLAP_S", "5"))  # the page allows 6 s until SIGTERM
 # The sample's push interval is 15 s. The upgrade begins 11.5 s after the start, so that one push falls into
 # the time in which both processes run; with a shorter interval any upgrade would do.
 PUSH_INTERVAL_SECONDS = 15
-SECONDS_BEFORE, OVERLAP_SECONDS, SECONDS_AFTER = 11.5, 5.0, 3.0  # the page allows 6 s until SIGTERM
+SECONDS_BEFORE, SECONDS_AFTER = 14.375 - 0.575 * OVERLAP_SECONDS, 3.0
 
 
 async def receive(record: Record, port: int) -> asyncio.Server:
