Let one process at a time use a spool, and let no error of its files end the front

Cause: nobody held the spool's folder. The new process opened it while the old one still wrote to it, and removed the acknowledged segment that the old one had open. The old one appended to the removed file, read it by its path, and FileNotFoundError left the sender's task, which runs in the front's task group. While a receiver was away both processes would have sent the same batches.

Change: a process uses the folder only while it holds flock on its file `lock`; the kernel hands it on when the process ends, however it ends. Until then a new process keeps its batches in memory and sends none, then sends what is left and its own newer batches. BatchQueue holds the spool and the memory behind it, and lets no error out: removed, foreign, full or unreadable files cost a retry, not the process; the sender is started again after an unexpected error. The same path had five neighbours, each with a test: a cursor that cannot be written no longer lets the next batch out; a batch whose segment was dropped is not stored twice; a foreign file with the next segment's name is left as it is; a corrupt open segment no longer hides later batches; a full disk at the start no longer ends the front.

--- a/zincladder/export/batch_store.py
+++ b/zincladder/export/batch_store.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import deque
+from collections.abc import Sequence
 from dataclasses import dataclass
 from typing import Protocol
 
@@ -51,9 +52,33 @@
 
     def append(self, unix_ms: int, payload: bytes) -> None:
         """Adds a batch, and drops the oldest ones while the limit is exceeded."""
+        self._batches.append(self._numbered(unix_ms, payload))
+        self._apply_limit()
+
+    def prepend(self, batches: Sequence[SpooledBatch]) -> list[SpooledBatch]:
+        """Adds batches that are older than those in memory; returns them with their new numbers.
+
+        The oldest ones are dropped while the limit is exceeded.
+        """
+        added = [self._numbered(batch.unix_ms, batch.payload) for batch in batches]
+        self._batches.extendleft(reversed(added))
+        self._apply_limit()
+        return added
+
+    def drop_until(self, unix_ms: int) -> int:
+        """Removes the batches that are not newer than a time; returns how many. They do not count as lost."""
+        kept = [batch for batch in self._batches if batch.unix_ms > unix_ms]
+        dropped = len(self._batches) - len(kept)
+        self._batches = deque(kept)
+        self.size_bytes = sum(len(batch.payload) for batch in kept)
+        return dropped
+
+    def _numbered(self, unix_ms: int, payload: bytes) -> SpooledBatch:
         self._last_number += 1
-        self._batches.append(SpooledBatch(self._last_number, unix_ms, payload))
         self.size_bytes += len(payload)
+        return SpooledBatch(self._last_number, unix_ms, payload)
+
+    def _apply_limit(self) -> None:
         while self.size_bytes > self._max_bytes and self._batches:
             self._remove_oldest()
             self.lost_batches += 1
--- a/zincladder/export/spool.py
+++ b/zincladder/export/spool.py
@@ -1,6 +1,7 @@
 """A store of unsent batches in segment files, which stay readable after a crash.
 
-All methods block. The sender calls `append`, `oldest` and `acknowledge` in a worker thread, one at a time.
+All methods block. They are called in a worker thread, one at a time, by the process that holds the lock of
+the folder (`zincladder.durable.folder_lock`): two processes that write to it remove each other's segments.
 """
 
 from __future__ import annotations
@@ -9,10 +10,14 @@
 import errno
 import os
 import re
+import stat
 from collections import deque
+from dataclasses import dataclass
+from itertools import pairwise
 from pathlib import Path
 
 from zincladder.durable import records
+from zincladder.durable.folder_lock import LOCK_NAME
 from zincladder.export.batch_store import SpooledBatch
 
 SEGMENT_NAME = re.compile(r"(\d{20})\.seg")
@@ -20,11 +25,32 @@
 CURSOR_SLOTS = 2
 SEGMENTS_OF_FULL_SPOOL = 8  # the oldest segment of a full spool is dropped
 MIN_SEGMENT_BYTES = 64 << 10
+MAX_TAKEN_NAMES = 1000  # names of foreign files that are skipped when a segment is started
 FOLDER_MODE, FILE_MODE = 0o700, 0o600
 
 
 class SpoolError(Exception):
-    """The spool's folder cannot be used; the text gives the reason."""
+    """The spool's folder cannot be used; the text gives the reason.
+
+    `misconfigured` is False if the same folder may be usable later, as after a full disk.
+    """
+
+    def __init__(self, reason: str, misconfigured: bool) -> None:
+        super().__init__(reason)
+        self.misconfigured = misconfigured
+
+
+@dataclass(slots=True)
+class _Segment:
+    """A segment file: the numbers of its first and last batch, and its size in bytes."""
+
+    first: int
+    last: int
+    size: int
+
+    def unsent(self, acknowledged: int) -> int:
+        """Returns how many of its batches have a number above `acknowledged`."""
+        return max(0, self.last - max(acknowledged, self.first - 1))
 
 
 class Spool:
@@ -46,98 +72,104 @@
             SpoolError: The folder cannot be used.
         """
         self.lost_batches = 0
+        self.newest_unix_ms = 0  # the latest time of the batches in the files when the spool was opened
         self.foreign_files: list[str] = []  # files that are not part of the spool; they are left as they are
         self._folder = folder
         self._max_bytes = max_bytes
         self._max_segment_bytes = max(MIN_SEGMENT_BYTES, max_bytes // SEGMENTS_OF_FULL_SPOOL)
-        self._segment_bytes: dict[int, int] = {}  # size of each segment by its first batch number, ascending
+        self._segments: deque[_Segment] = deque()  # in the order of their batches
         self._next_number = 1
         self._acknowledged = 0  # number of the last batch that was sent or given up
         self._cursor_generation = 0
-        self._segment_file: int | None = None  # file descriptor of the segment that is written to
+        self._cursor_behind = False  # the last write of the cursor failed
+        self._segment_file: int | None = None  # file descriptor of the segment that is written to, the last
         self._cursor_file: int | None = None  # file descriptor
         self._read_ahead: deque[SpooledBatch] = deque()  # unsent batches of the oldest segment
         try:
             self._open()
         except OSError as error:
             self.close()
-            raise SpoolError(f"{folder}: {error.strerror or error}") from None
+            raise spool_error(folder, error) from None
 
     def __len__(self) -> int:
         """Returns the number of batches that wait to be sent."""
-        return self._next_number - 1 - self._acknowledged
+        return sum(segment.unsent(self._acknowledged) for segment in self._segments)
 
     @property
     def size_bytes(self) -> int:
         """The size of all segments together."""
-        return sum(self._segment_bytes.values())
+        return sum(segment.size for segment in self._segments)
 
     # Opening --------------------------------------------------------------------------------------
 
     def _open(self) -> None:
         """Reads the cursor and the segments, and repairs both after a crash."""
         self._folder.mkdir(mode=FOLDER_MODE, parents=True, exist_ok=True)
-        flags = os.O_RDWR | os.O_CREAT | os.O_CLOEXEC
-        self._cursor_file = os.open(self._folder / CURSOR_NAME, flags, FILE_MODE)
+        self._cursor_file = self._open_cursor()
         cursor = records.read_cursor(os.pread(self._cursor_file, CURSOR_SLOTS * records.CURSOR_SLOT.size, 0))
-        last = self._recover_segments()
-        first = next(iter(self._segment_bytes), None)
+        self._recover_segments()
+        last = self._segments[-1].last if self._segments else 0
+        first = self._segments[0].first if self._segments else 1
         if cursor is not None:
             self._cursor_generation, self._acknowledged = cursor
+            self.lost_batches = self._missing_batches()
         else:
             # Without a valid cursor it is unknown which batches were sent, and the receiver must not get old
             # samples after newer ones. So all stored batches are given up.
             self._acknowledged = last
-            self.lost_batches = 0 if first is None else last - first + 1
-        if first is not None:
-            self._acknowledged = max(self._acknowledged, first - 1)
+            self.lost_batches = max(0, last - first + 1)
+        self._acknowledged = max(self._acknowledged, first - 1)
         self._next_number = max(last, self._acknowledged) + 1
         for _ in range(CURSOR_SLOTS):  # make both valid: if a write to one is torn, the other is used
-            self._write_cursor(self._acknowledged)
+            self._write_cursor()
         self._remove_acknowledged_segments()
 
-    def _recover_segments(self) -> int:
-        """Reads the segments in the folder; returns the number of their last batch, 0 if there is none."""
-        last = 0
+    def _missing_batches(self) -> int:
+        """Returns how many unsent batches are missing between the segments."""
+        return sum(
+            max(0, following.first - 1 - max(segment.last, self._acknowledged))
+            for segment, following in pairwise(self._segments)
+        )
+
+    def _open_cursor(self) -> int:
+        return os.open(self._folder / CURSOR_NAME, os.O_RDWR | os.O_CREAT | os.O_CLOEXEC, FILE_MODE)
+
+    def _recover_segments(self) -> None:
+        """Reads the segments in the folder."""
         for path in sorted(self._folder.iterdir()):
-            if path.name == CURSOR_NAME:
+            if path.name in (CURSOR_NAME, LOCK_NAME):
                 continue
             name = SEGMENT_NAME.fullmatch(path.name)
-            if name is None:
+            if name is None or not stat.S_ISREG(path.lstat().st_mode):
                 self.foreign_files.append(path.name)
             else:
-                last = self._recover_segment(path, int(name[1]), last)
-        return last
+                self._recover_segment(path, int(name[1]))
 
-    def _recover_segment(self, path: Path, first: int, last: int) -> int:
+    def _recover_segment(self, path: Path, first: int) -> None:
         """Reads one segment, and truncates it after its last complete batch.
 
         Args:
             path: The segment's file.
             first: The number of its first batch, from the file's name.
-            last: The number of the last batch in the segments before it.
-
-        Returns:
-            The number of the last batch in this segment, or `last` if it holds none.
         """
         data = path.read_bytes()
-        if records.first_record_number(data, records.SPOOL_MAGIC) != first or first <= last:
+        overlaps = bool(self._segments) and first <= self._segments[-1].last
+        if records.first_record_number(data, records.SPOOL_MAGIC) != first or overlaps:
             if len(data) < records.SEGMENT_HEADER.size:  # the process was killed while it wrote the header
                 path.unlink()
             else:
                 self.foreign_files.append(path.name)
-            return last
-        complete_bytes = records.SEGMENT_HEADER.size
+            return
+        segment = _Segment(first, first - 1, records.SEGMENT_HEADER.size)
         for record in records.scan_records(data, records.SPOOL_MAGIC):
-            complete_bytes = record.offset + record.size
-            last = record.number
-        if complete_bytes < len(data):
-            os.truncate(path, complete_bytes)
-        if complete_bytes == records.SEGMENT_HEADER.size:
+            segment.last, segment.size = record.number, record.offset + record.size
+            self.newest_unix_ms = max(self.newest_unix_ms, record.stamp)
+        if segment.size < len(data):
+            os.truncate(path, segment.size)
+        if segment.last < first:
             path.unlink()
         else:
-            self._segment_bytes[first] = complete_bytes
-        return last
+            self._segments.append(segment)
 
     # Writing --------------------------------------------------------------------------------------
 
@@ -145,119 +177,232 @@
         """Adds a batch, and drops the oldest segments while the limit is exceeded.
 
         Raises:
-            OSError: The batch cannot be written; the spool is unchanged then.
+            OSError: The batch cannot be written; it is not in the spool then.
         """
-        data = records.pack(self._next_number, unix_ms, payload)
-        segment = next(reversed(self._segment_bytes), None)
-        if (
-            self._segment_file is None
-            or segment is None
-            or self._segment_bytes[segment] + len(data) > self._max_segment_bytes
-        ):
+        self._restore_removed_segment()
+        record_bytes = records.RECORD_HEADER.size + len(payload)
+        if self._segment_file is None or self._segments[-1].size + record_bytes > self._max_segment_bytes:
             self._start_segment()
-            segment = self._next_number
         assert self._segment_file is not None
-        offset = self._segment_bytes[segment]
+        segment = self._segments[-1]
         try:
-            _write_all(self._segment_file, data, offset)
+            _write_all(self._segment_file, records.pack(self._next_number, unix_ms, payload), segment.size)
         except OSError:
             with contextlib.suppress(OSError):
-                os.ftruncate(self._segment_file, offset)
+                os.ftruncate(self._segment_file, segment.size)
             raise
-        self._segment_bytes[segment] = offset + len(data)
+        segment.last, segment.size = self._next_number, segment.size + record_bytes
         self._next_number += 1
-        while self.size_bytes > self._max_bytes and len(self._segment_bytes) > 1:
+        while self.size_bytes > self._max_bytes and len(self._segments) > 1:
             self._drop_oldest_segment()
 
     def _start_segment(self) -> None:
         """Starts a new segment. Syncs the previous one to disk, so that it survives a power failure."""
         if self._segment_file is not None:
             os.fdatasync(self._segment_file)
-            os.close(self._segment_file)
-            self._segment_file = None
-        path = self._segment_path(self._next_number)
-        file = os.open(path, os.O_RDWR | os.O_CREAT | os.O_TRUNC | os.O_CLOEXEC, FILE_MODE)
+            self._close_segment()
+        self._next_number = self._first_free_number()
+        self._segment_file = self._create_segment(self._next_number, b"")
+        self._segments.append(_Segment(self._next_number, self._next_number - 1, records.SEGMENT_HEADER.size))
+
+    def _first_free_number(self) -> int:
+        """Returns the first number from the next one on whose segment name no foreign file has."""
+        for number in range(self._next_number, self._next_number + MAX_TAKEN_NAMES):
+            if not os.path.lexists(self._segment_path(number)):
+                return number
+        raise FileExistsError(errno.EEXIST, "foreign files have the names of the next segments")
+
+    def _create_segment(self, first: int, data: bytes) -> int:
+        """Creates the file of a segment with these records; returns its descriptor.
+
+        Raises OSError if that fails, or if another file has its name; there is no new file then.
+        """
+        path = self._segment_path(first)
+        file = os.open(path, os.O_RDWR | os.O_CREAT | os.O_EXCL | os.O_CLOEXEC, FILE_MODE)
         try:
-            _write_all(file, records.segment_header(records.SPOOL_MAGIC, self._next_number), 0)
+            _write_all(file, records.segment_header(records.SPOOL_MAGIC, first) + data, 0)
         except OSError:
             os.close(file)
             with contextlib.suppress(OSError):
                 path.unlink()
             raise
-        self._segment_file = file
-        self._segment_bytes[self._next_number] = records.SEGMENT_HEADER.size
+        return file
+
+    def _restore_removed_segment(self) -> None:
+        """Writes the unsent batches of the open segment to a new file if its file was removed.
+
+        Raises:
+            OSError: The new file cannot be written.
+        """
+        if self._segment_file is None or not self._is_removed(self._segments[-1]):
+            return
+        removed = self._segments[-1]
+        first = max(removed.first, self._acknowledged + 1)
+        unsent = [record for record in self._records_of(removed) if record.number >= first]
+        lost_batches = removed.unsent(self._acknowledged) - len(unsent)
+        if unsent:
+            data = b"".join(records.pack(batch.number, batch.stamp, batch.payload) for batch in unsent)
+            file = self._create_segment(first, data)
+            self._close_segment()
+            self._segment_file = file
+            self._segments[-1] = _Segment(first, unsent[-1].number, records.SEGMENT_HEADER.size + len(data))
+        else:
+            self._close_segment()
+            self._segments.pop()
+        self.lost_batches += lost_batches
+
+    def _close_segment(self) -> None:
+        """Closes the open segment, so that the next batch starts another one."""
+        if self._segment_file is not None:
+            os.close(self._segment_file)
+            self._segment_file = None
 
     def _segment_path(self, first: int) -> Path:
         return self._folder / f"{first:020d}.seg"
 
     def _drop_oldest_segment(self) -> None:
         """Removes the oldest segment, and counts its unsent batches as lost."""
-        first, second = list(self._segment_bytes)[:2]
-        unsent_batches = max(0, second - 1 - max(self._acknowledged, first - 1))
-        self.lost_batches += unsent_batches
+        unsent_batches = self._segments[0].unsent(self._acknowledged)
         if unsent_batches:
-            self._skip_to(second)
+            self._give_up(self._segments[0].last, unsent_batches)
         self._remove_acknowledged_segments()
 
-    def _skip_to(self, number: int) -> None:
-        """Continues with batch `number`, and gives up the batches before it."""
+    def _give_up(self, last: int, unsent_batches: int) -> None:
+        """Gives up the batches up to number `last`, and continues with the one after it."""
+        self.lost_batches += unsent_batches
         self._read_ahead.clear()
-        self._acknowledged = number - 1
-        self._write_cursor(self._acknowledged)
+        self._acknowledged = last
+        self._record_cursor()
 
     def _remove_acknowledged_segments(self) -> None:
         """Removes the segments without unsent batches, except the one that is written to."""
-        firsts = list(self._segment_bytes)
-        for first, following in zip(firsts, [*firsts[1:], self._next_number], strict=False):
-            is_written_to = first == firsts[-1] and self._segment_file is not None
-            if following - 1 > self._acknowledged or is_written_to:
-                break
-            with contextlib.suppress(FileNotFoundError):
-                self._segment_path(first).unlink()
-            del self._segment_bytes[first]
+        while self._segments and not self._segments[0].unsent(self._acknowledged):
+            if len(self._segments) == 1 and self._segment_file is not None:
+                return
+            with contextlib.suppress(OSError):  # a file that stays is removed when the spool is opened
+                self._segment_path(self._segments[0].first).unlink()
+            self._segments.popleft()
 
     # Sending --------------------------------------------------------------------------------------
 
     def oldest(self) -> SpooledBatch | None:
-        """Returns the batch to send next; None if there is none."""
+        """Returns the batch to send next; None if there is none.
+
+        Raises:
+            OSError: A segment cannot be read now, or the cursor cannot be written, so that a batch that was
+                sent could be sent again after a crash. The call may succeed later.
+        """
         while self._read_ahead and self._read_ahead[0].number <= self._acknowledged:
             self._read_ahead.popleft()
         while not self._read_ahead and len(self):
             self._read_segment()
+        if self._read_ahead and (self._cursor_behind or self._cursor_is_removed()):
+            self._write_cursor()
         return self._read_ahead[0] if self._read_ahead else None
 
     def _read_segment(self) -> None:
         """Reads the segment of the next batch into memory, which holds at most one segment."""
-        next_to_send = self._acknowledged + 1
-        first = max((first for first in self._segment_bytes if first <= next_to_send), default=None)
-        data = b"" if first is None else self._segment_path(first).read_bytes()
-        for record in records.scan_records(data, records.SPOOL_MAGIC):
-            if record.number >= next_to_send:
+        segment = next(segment for segment in self._segments if segment.unsent(self._acknowledged))
+        next_to_send = max(segment.first, self._acknowledged + 1)
+        for record in self._records_of(segment):
+            if next_to_send <= record.number <= segment.last:
                 self._read_ahead.append(SpooledBatch(record.number, record.stamp, record.payload))
         if not self._read_ahead or self._read_ahead[0].number != next_to_send:
-            # The segment was corrupted after it was written. Its other batches are given up, and reading
-            # continues with the next segment.
-            later_firsts = (first for first in self._segment_bytes if first > next_to_send)
-            following = min(later_firsts, default=self._next_number)
-            self.lost_batches += following - next_to_send
-            self._skip_to(following)
+            # The segment was corrupted or removed after it was written. Its other batches are given up, and
+            # reading continues with the next segment.
+            if segment is self._segments[-1]:
+                self._close_segment()
+            self._give_up(segment.last, segment.unsent(self._acknowledged))
+
+    def _records_of(self, segment: _Segment) -> list[records.Record]:
+        """Returns the records of a segment up to the first invalid one; none if its file was removed.
+
+        The segment that is written to is read through its descriptor, also after its file was removed.
+        """
+        if segment is self._segments[-1] and self._segment_file is not None:
+            data = os.pread(self._segment_file, segment.size, 0)
+        else:
+            try:
+                data = self._segment_path(segment.first).read_bytes()
+            except FileNotFoundError:
+                data = b""
+        return list(records.scan_records(data, records.SPOOL_MAGIC))
+
+    def take_removed_batches(self) -> list[SpooledBatch]:
+        """Gives up the segments whose files were removed.
+
+        Returns their unsent batches that can still be read, and counts the others as lost. The spool has to
+        be closed after this.
+        """
+        taken: list[SpooledBatch] = []
+        for segment in self._segments:
+            unsent_batches = segment.unsent(self._acknowledged)
+            if not unsent_batches or not self._is_removed(segment):
+                continue
+            readable = self._still_readable(segment)
+            self.lost_batches += unsent_batches - len(readable)
+            taken += readable
+        return taken
+
+    def _is_removed(self, segment: _Segment) -> bool:
+        if segment is self._segments[-1] and self._segment_file is not None:
+            return not os.fstat(self._segment_file).st_nlink
+        return not os.path.lexists(self._segment_path(segment.first))
+
+    def _still_readable(self, segment: _Segment) -> list[SpooledBatch]:
+        """Returns the unsent batches of a removed segment that are in memory or in an open file."""
+        if segment is self._segments[-1] and self._segment_file is not None:
+            return [
+                SpooledBatch(record.number, record.stamp, record.payload)
+                for record in self._records_of(segment)
+                if record.number > self._acknowledged
+            ]
+        return [batch for batch in self._read_ahead if segment.first <= batch.number <= segment.last]
 
     def acknowledge(self, batch: SpooledBatch) -> None:
-        """Removes a batch that was sent or was rejected. Has no effect if the batch was dropped meanwhile."""
-        if batch.number != self._acknowledged + 1:
+        """Removes a batch that was sent or was rejected. Has no effect if the batch was dropped meanwhile.
+
+        If the cursor cannot be written now, it is written before the next batch is returned by `oldest`.
+        """
+        if not self._read_ahead or self._read_ahead[0].number != batch.number:
             return
-        self._write_cursor(batch.number)
+        self._read_ahead.popleft()
         self._acknowledged = batch.number
-        if self._read_ahead and self._read_ahead[0].number == batch.number:
-            self._read_ahead.popleft()
+        self._record_cursor()
         self._remove_acknowledged_segments()
 
-    def _write_cursor(self, acknowledged: int) -> None:
-        """Writes the older of the two slots, so that a torn write leaves the other one valid."""
+    def _record_cursor(self) -> None:
+        """Writes the cursor, or leaves that to `oldest` if it fails now."""
+        self._cursor_behind = True
+        with contextlib.suppress(OSError):
+            self._write_cursor()
+
+    def _write_cursor(self) -> None:
+        """Writes the older of the two slots, so that a torn write leaves the other one valid.
+
+        If the file was removed, a new one is written. Raises OSError if a write fails.
+        """
         assert self._cursor_file is not None
-        self._cursor_generation += 1
-        offset = self._cursor_generation % CURSOR_SLOTS * records.CURSOR_SLOT.size
-        os.pwrite(self._cursor_file, records.pack_cursor(self._cursor_generation, acknowledged), offset)
+        if self._cursor_is_removed():
+            file = self._open_cursor()
+            os.close(self._cursor_file)
+            self._cursor_file = file
+        generation = self._cursor_generation + 1
+        offset = generation % CURSOR_SLOTS * records.CURSOR_SLOT.size
+        _write_all(self._cursor_file, records.pack_cursor(generation, self._acknowledged), offset)
+        self._cursor_generation, self._cursor_behind = generation, False
+
+    def restore_removed_files(self) -> None:
+        """Writes the cursor and the open segment again if their files were removed.
+
+        Raises OSError if they cannot be written.
+        """
+        if self._cursor_behind or self._cursor_is_removed():
+            self._write_cursor()
+        self._restore_removed_segment()
+
+    def _cursor_is_removed(self) -> bool:
+        return self._cursor_file is not None and not os.fstat(self._cursor_file).st_nlink
 
     def close(self) -> None:
         """Syncs and closes the files."""
@@ -269,6 +414,14 @@
         self._segment_file = self._cursor_file = None
 
 
+def spool_error(folder: Path, error: OSError) -> SpoolError:
+    """Returns the SpoolError for a system error in a spool's folder."""
+    misconfigured = isinstance(
+        error, (FileExistsError, IsADirectoryError, NotADirectoryError, PermissionError)
+    )
+    return SpoolError(f"{folder}: {error.strerror or error}", misconfigured)
+
+
 def _write_all(file: int, data: bytes, offset: int) -> None:
     """Writes all of `data`. Raises OSError if it fails; a short write means that the disk is full."""
     if os.pwrite(file, data, offset) < len(data):
--- a/zincladder/handover/host.py
+++ b/zincladder/handover/host.py
@@ -119,9 +119,7 @@
     async def run(self, listener: socket.socket) -> None:
         """Passes the listening socket to each new process, and counts running processes, until cancelled."""
         async with anyio.create_task_group() as tasks:
-            number = self.generations.add(newer=False) if self._predecessor else None
-            if self._predecessor and number:
-                tasks.start_soon(self._count_until_end, self._predecessor, number)
+            tasks.start_soon(self._follow_predecessor)
             while True:
                 try:
                     server = self._publish()
@@ -138,6 +136,18 @@
                     server.close()
                     self._unpublish()
 
+    @property
+    def predecessor_runs(self) -> bool:
+        """Whether the process whose listening socket this one has taken over still runs."""
+        return self._predecessor is not None
+
+    async def _follow_predecessor(self) -> None:
+        """Counts the process that this one replaces until it ends."""
+        number = self.generations.add(newer=False) if self._predecessor else None
+        if self._predecessor and number:
+            await self._count_until_end(self._predecessor, number)
+            self._predecessor = None
+
     def _publish(self) -> socket.socket:
         """Binds the rendezvous path; an atomic rename replaces an old one, so that the path always exists."""
         server, temporary_path = socket.socket(socket.AF_UNIX), f"{self._path}.{os.getpid()}"
--- a/zincladder/wiring/front.py
+++ b/zincladder/wiring/front.py
@@ -95,6 +95,10 @@
         """Returns whether a newer process of this front accepts new clients."""
         return self.handover is not None and self.handover.generations.has_successor
 
+    def _predecessor_runs(self) -> bool:
+        """Returns whether the process whose listening socket this one has taken over still runs."""
+        return self.handover is not None and self.handover.predecessor_runs
+
     def _apply_known_events(self) -> int:
         """Applies the events that the configuration holds, and returns the number of the last one."""
         last_event, events = read_known_events(self.config)
@@ -201,7 +205,9 @@
             exporter = build_exporter(self.operator.metrics, registry, self.admission)
             self.listening.metrics = await group.start(exporter.run)
         if self.operator.remote_write:
-            self.remote_writes = build_remote_writes(self.operator.remote_write, registry, self.core)
+            self.remote_writes = build_remote_writes(
+                self.operator.remote_write, registry, self.core, self._predecessor_runs
+            )
             for remote_write in self.remote_writes:
                 group.start_soon(remote_write.run)
 
--- a/zincladder/wiring/metrics.py
+++ b/zincladder/wiring/metrics.py
@@ -48,13 +48,22 @@
 
 
 def build_remote_writes(
-    receivers: Iterable[RemoteWriteConfig], registry: Registry, core: Core
+    receivers: Iterable[RemoteWriteConfig],
+    registry: Registry,
+    core: Core,
+    predecessor_runs: Callable[[], bool],
 ) -> list[RemoteWrite]:
-    """Returns a sender of samples for each receiver. Raises ConfigError if a spool cannot be used."""
+    """Returns a sender of samples for each receiver. Raises ConfigError if a spool cannot be used.
+
+    `predecessor_runs` returns whether the process that this one replaces at an upgrade still runs.
+    """
     from zincladder.export.sender import RemoteWrite
 
     count_batches = _batch_counter(core)
-    return [RemoteWrite(receiver, registry.samples, count_batches) for receiver in receivers]
+    return [
+        RemoteWrite(receiver, registry.samples, count_batches, predecessor_runs=predecessor_runs)
+        for receiver in receivers
+    ]
 
 
 def _batch_counter(core: Core) -> Callable[[str, int], None]:
