End only the connection when a peer of /metrics resets it

Cause: the exporter asked the stream for its peer's address after the handler had started. The transport of a connection that was reset by then has no socket, and AttributeError left the handler outside of its `try`; between it and the task group of the process nothing catches.

Change: the address is that of accept(2); everything about one connection stands inside its handler's `try`. The accept itself ended the process in the same way (EMFILE, ECONNABORTED and 15 more that accept(2) names): the exporter now uses the loop of the other listeners, which logs and goes on, moved to support/listeners.py. Log lines that a peer can cause are rate limited, also those of the command socket.

--- a/zincladder/control/command_server.py
+++ b/zincladder/control/command_server.py
@@ -14,8 +14,10 @@
 
 from zincladder.admission.descriptor_budget import DescriptorBudget, DescriptorUse
 from zincladder.config import ConfigError
-from zincladder.control.accept_loop import accept_connections
 from zincladder.control.commands import MAX_LINE_BYTES, Command, answer
+from zincladder.support.listeners import accept_connections
+from zincladder.support.rate_limited_log import RateLimitedLog
+from zincladder.support.socket_io import receive, send_all
 
 TEMPORARY_SUFFIX = ".n"  # short, since the path may take 100 of the 108 bytes of sockaddr_un
 IDLE_TIMEOUT_SECONDS = 10.0
@@ -99,13 +101,13 @@
         try:
             async with anyio.create_task_group() as tasks:
 
-                def handle(sock: socket.socket) -> None:
+                def handle(sock: socket.socket, host: str) -> None:
                     if self._descriptors.acquire(DescriptorUse.CONTROL):
                         tasks.start_soon(self._serve_connection, sock)
                     else:
                         sock.close()
 
-                await accept_connections(self._listener, handle, log.warning)
+                await accept_connections(self._listener, handle, RateLimitedLog().warning)
         finally:
             self._listener.close()
             self._unlink_path()
@@ -135,22 +137,11 @@
             while b"\n" not in data:
                 if len(data) > MAX_LINE_BYTES:
                     return
-                received = await _receive(sock)
+                with anyio.fail_after(IDLE_TIMEOUT_SECONDS):
+                    received = await receive(sock, READ_BYTES)
                 if not received:
                     return
                 data += received
             line, _, data = data.partition(b"\n")
-            await _send_all(sock, answer(self._table, bytes(line), monotonic()))
-
-
-async def _receive(sock: socket.socket) -> bytes:
-    with anyio.fail_after(IDLE_TIMEOUT_SECONDS):
-        await anyio.wait_readable(sock)
-    return sock.recv(READ_BYTES)
-
-
-async def _send_all(sock: socket.socket, data: bytes) -> None:
-    while data:
-        with anyio.fail_after(IDLE_TIMEOUT_SECONDS):
-            await anyio.wait_writable(sock)
-        data = data[sock.send(data) :]
+            with anyio.fail_after(IDLE_TIMEOUT_SECONDS):
+                await send_all(sock, answer(self._table, bytes(line), monotonic()))
--- a/zincladder/control/status_server.py
+++ b/zincladder/control/status_server.py
@@ -9,9 +9,10 @@
 
 from zincladder.admission.descriptor_budget import DescriptorBudget, DescriptorUse
 from zincladder.config import Address
-from zincladder.control.accept_loop import LogWarning, accept_connections
 from zincladder.control.status_calls import LineReader, StatusCalls
 from zincladder.support.lingering_close import LINGER_SECONDS, lingering_close
+from zincladder.support.listeners import LogWarning, accept_connections
+from zincladder.support.socket_io import receive, send_all
 
 CONNECTION_TIMEOUT_SECONDS = 10.0  # a connection is closed if its line and its answer take longer
 MIN_CONNECTIONS = 4  # open at the same time, even if no descriptors are available
@@ -44,7 +45,7 @@
         try:
             async with anyio.create_task_group() as tasks:
 
-                def handle(sock: socket.socket) -> None:
+                def handle(sock: socket.socket, host: str) -> None:
                     self._close_oldest_at_limit()
                     self._descriptors.force_acquire(DescriptorUse.CONTROL)
                     scope = self._incomplete[sock] = anyio.CancelScope()
@@ -87,7 +88,7 @@
         if call is None:
             return
         self._incomplete.pop(sock, None)  # its line is complete, so a new connection no longer replaces it
-        await _send_all(sock, self._calls.answer(call))
+        await send_all(sock, self._calls.answer(call))
         await lingering_close(sock, LINGER_SECONDS)
 
     async def _read_call(self, sock: socket.socket) -> bytes | None:
@@ -97,21 +98,9 @@
         """
         reader = LineReader()
         while True:
-            try:
-                data = sock.recv(READ_BYTES)
-            except BlockingIOError:
-                await anyio.wait_readable(sock)
-                continue
+            data = await receive(sock, READ_BYTES)
             if not data:
                 return None
             call = reader.feed(data)
             if call is not None:
                 return call
-
-
-async def _send_all(sock: socket.socket, data: bytes) -> None:
-    while data:
-        try:
-            data = data[sock.send(data) :]
-        except BlockingIOError:
-            await anyio.wait_writable(sock)
--- a/zincladder/dns/server.py
+++ b/zincladder/dns/server.py
@@ -20,8 +20,8 @@
 from zincladder.net.client_listener import reject_connection
 from zincladder.net.errors import ConnectionEndedError
 from zincladder.net.read_buffer import ReadBuffer
-from zincladder.net.sockets import address_family
 from zincladder.net.write_queue import WriteQueue
+from zincladder.support.listeners import address_family
 from zincladder.support.rate_limited_log import RateLimitedLog
 
 IDLE_TIMEOUT_SECONDS = 5.0  # limit over TCP for receiving a whole query, and for writing a response
--- a/zincladder/net/client_listener.py
+++ b/zincladder/net/client_listener.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import contextlib
-import errno
 import itertools
 import os
 import resource
@@ -21,13 +20,11 @@
 from zincladder.admission.source_admission import SourceAdmission
 from zincladder.config import Address
 from zincladder.core.arrival import ArrivalBound, LoopIterations
-from zincladder.net.sockets import RESET_ON_CLOSE, address_family
+from zincladder.net.sockets import RESET_ON_CLOSE
+from zincladder.support.listeners import SHORTAGE_ERRORS, open_listener
 from zincladder.support.rate_limited_log import RateLimitedLog
 
-BACKLOG = 1024  # connections in the kernel's listen queue
 CONNECTIONS_PER_TURN = 64  # accepted before other tasks may run
-# Errors of accept(2) that report a lack of file descriptors or memory.
-SHORTAGE_ERRORS = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
 # After a shortage the listener pauses; the pause is doubled while the shortage lasts.
 MIN_SHORTAGE_PAUSE_SECONDS, MAX_SHORTAGE_PAUSE_SECONDS = 0.01, 0.2
 DESCRIPTORS_TO_FREE = 4  # freed after a shortage for connections to caches and to the coordinator
@@ -36,28 +33,6 @@
 REJECT = Verdict.REJECT
 
 
-def open_listener(address: Address) -> socket.socket:
-    """Opens a listening socket for IPv4 or IPv6; the address '::' accepts both.
-
-    Raises:
-        OSError: The address cannot be listened on.
-    """
-    sock = socket.socket(address_family(address[0]), socket.SOCK_STREAM)
-    try:
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        # During an upgrade the new process listens on this address before the old one ends.
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
-        if sock.family == socket.AF_INET6:
-            sock.setsockopt(socket.IPPROTO_IPV6, socket.IPV6_V6ONLY, address[0] != "::")
-        sock.setblocking(False)
-        sock.bind(address)
-        sock.listen(BACKLOG)
-    except OSError:
-        sock.close()
-        raise
-    return sock
-
-
 def reject_connection(sock: socket.socket) -> None:
     """Resets a connection, which is the cheapest way to end it and leaves no socket in TIME_WAIT."""
     try:  # noqa: SIM105  (avoids the cost of a context manager for each connection of a flood)
--- a/zincladder/net/sockets.py
+++ b/zincladder/net/sockets.py
@@ -12,6 +12,8 @@
 
 import anyio
 
+from zincladder.support.listeners import address_family
+
 MAX_PEEK_BYTES = 1 << 16
 _PEEK_BUFFER = bytearray(MAX_PEEK_BYTES)
 TCP_INFO_BYTES, LAST_DATA_RECV_OFFSET, _LAST_DATA_RECV = 104, 52, struct.Struct("=I")
@@ -73,11 +75,6 @@
     return unsent[0] > 0
 
 
-def address_family(host: str) -> socket.AddressFamily:
-    """Returns the address family of an IP address."""
-    return socket.AF_INET6 if ":" in host else socket.AF_INET
-
-
 async def connect(host: str, port: int) -> socket.socket:
     """Opens a connection; cancelling the call closes the socket.
 
--- a/zincladder/wiring/status.py
+++ b/zincladder/wiring/status.py
@@ -11,8 +11,8 @@
 from zincladder.control.status_calls import StatusCalls
 from zincladder.control.status_server import StatusServer
 from zincladder.core.engine import Core
-from zincladder.net.client_listener import open_listener
 from zincladder.net.client_server import ClientServer
+from zincladder.support.listeners import open_listener
 from zincladder.support.rate_limited_log import RateLimitedLog
 
 if TYPE_CHECKING:
