--- a/tests/support/front_process.py
+++ b/tests/support/front_process.py
@@ -23,7 +23,10 @@
 class FrontProcess:
     """A front that runs in its own process, with a free port as its control address."""
 
-    def __init__(self, folder: Path, config: dict[str, Any], **environ: str) -> None:
+    def __init__(
+        self, folder: Path, config: dict[str, Any], stderr: int | None = None, **environ: str
+    ) -> None:
+        """Starts the process; it logs to a new file in `folder`, or to the file descriptor `stderr`."""
         path = folder / "config.json"
         path.write_text(json.dumps(config))
         environment = {
@@ -37,7 +40,7 @@
             [sys.executable, "-m", "zincladder"],
             cwd=ROOT,
             env=os.environ | environment,
-            stderr=self.log.open("wb"),
+            stderr=self.log.open("wb") if stderr is None else stderr,
         )
 
     def ask(self, line: bytes) -> bytes:
