End one DNS query or connection, not the front, after an error over it

What callers would see: an error in the truncated answer to a datagram, in a task of a TCP connection, or a response longer than its two bytes of length can say leaves the server's task group and ends the front.

--- a/zincladder/dns/server.py
+++ b/zincladder/dns/server.py
@@ -7,7 +7,6 @@
 from time import monotonic
 
 import anyio
-import structlog
 
 from zincladder.admission.descriptor_budget import DescriptorUse
 from zincladder.admission.interface import Admission
@@ -26,11 +25,11 @@
 
 IDLE_TIMEOUT_SECONDS = 5.0  # limit over TCP for receiving a whole query, and for writing a response
 LENGTH_PREFIX_BYTES = 2  # over TCP each message is preceded by its length (RFC 1035, 4.2.2)
+MAX_TCP_BYTES = 0xFFFF  # what the length can say
 MAX_QUERY_BYTES = 4096  # over UDP
 ACCEPT_RETRY_SECONDS = 0.01
 LISTEN_BACKLOG = 64  # connections that wait to be accepted
 MAX_DATAGRAMS_IN_A_ROW = 64  # after this many datagrams, other tasks can run before the next one is read
-log = structlog.get_logger()
 
 
 async def return_at_once() -> None:
@@ -134,20 +133,24 @@
         if verdict is DatagramVerdict.ANSWER:
             return self._respond(data, MAX_UDP_BYTES)
         if verdict is DatagramVerdict.TRUNCATED:
-            return self._answers.truncated(data)
+            return self._guarded(self._answers.truncated, data)
         return None
 
     def _send_datagram(self, response: bytes, peer: Address) -> None:
         try:
             self._udp.sendto(response, peer)
         except OSError as error:  # the resolver retries, as after a loss in the network
-            log.info("dns response not sent", reason=str(error))
+            self._rate_limited_log.info("dns response not sent", reason=str(error))
 
     def _respond(self, data: bytes, max_bytes: int | None) -> bytes | None:
+        return self._guarded(self._answers.respond, data, self._clock.now(), max_bytes)
+
+    def _guarded(self, respond: Callable[..., bytes | None], *args: object) -> bytes | None:
+        """Returns a response, or None after an error: one query must not stop the front."""
         try:
-            return self._answers.respond(data, self._clock.now(), max_bytes)
-        except Exception:  # an error in the handling of one query must not stop the front
-            log.exception("dns query failed")
+            return respond(*args)
+        except Exception:
+            self._rate_limited_log.exception("dns query failed")
             return None
 
     async def _serve_connection(self, sock: socket.socket, host: str) -> None:
@@ -161,8 +164,12 @@
                         await self._serve_query(read_buffer, write_queue)
                 except (ConnectionEndedError, TimeoutError) as error:
                     if isinstance(error, ConnectionEndedError) and error.reason is EndReason.PROTOCOL_ERROR:
-                        log.info("dns connection closed after a protocol error", reason=str(error))
+                        self._rate_limited_log.info(
+                            "dns connection closed after a protocol error", reason=str(error)
+                        )
                 tasks.cancel_scope.cancel()
+        except Exception:  # an error in one connection must not stop the front
+            self._rate_limited_log.exception("dns connection failed")
         finally:
             sock.close()
             self._admission.close_connection(DescriptorUse.DNS, host)
@@ -177,7 +184,7 @@
             size = int.from_bytes(await read_buffer.read_exactly(LENGTH_PREFIX_BYTES), "big")
             data = bytes(await read_buffer.read_exactly(size))
         response = self._respond(data, None)
-        if response is None:
+        if response is None or len(response) > MAX_TCP_BYTES:
             raise ConnectionEndedError(EndReason.PROTOCOL_ERROR, "the message cannot be answered")
         write_queue.put([len(response).to_bytes(LENGTH_PREFIX_BYTES, "big"), response])
 
--- a/zincladder/support/rate_limited_log.py
+++ b/zincladder/support/rate_limited_log.py
@@ -32,6 +32,10 @@
         """Logs a warning, unless a line with the same event was logged within the interval."""
         self._log(log.warning, event, fields)
 
+    def exception(self, event: str, **fields: Any) -> None:
+        """Logs an error with the traceback of the current exception, at the same rate."""
+        self._log(log.exception, event, fields)
+
     def info(self, event: str, **fields: Any) -> None:
         """Logs an informational line, unless a line with the same event was logged within the interval."""
         self._log(log.info, event, fields)
