Start a leader's service anew after an error instead of ending its replica

What callers would see: a value of the group or a message that a service cannot handle ends the replica that leads, and then the next one that leads. Undecodable values are rejected before they are stored; one that decodes and means nothing is not.

--- a/zincladder/consensus/leader_services.py
+++ b/zincladder/consensus/leader_services.py
@@ -85,7 +85,7 @@
         # The applied index when `state_changed` was last called; -1 forces a call at the next `refresh`.
         self.seen_index = -1
         self._wakeup = anyio.Event()
-        self._warning = RateLimitedLog().warning
+        self._rate_limited_log = RateLimitedLog()
         replica.state_listeners.append(self.wake)
         replica.link_handlers[self.role] = self.serve
         replica.progress_reporters.append(self.progress)
@@ -128,7 +128,21 @@
         self._wakeup.set()
 
     async def run(self) -> None:
-        """Runs the service whenever this replica leads, until it is cancelled."""
+        """Runs the service whenever this replica leads, until it is cancelled.
+
+        After an unexpected error it starts anew, as a new leader does: it waits until every lease that it may
+        have granted has expired. The replica goes on, since its vote is needed, and its successor would meet
+        the same message or value.
+        """
+        while True:
+            try:
+                await self._run()
+            except Exception:
+                self._rate_limited_log.exception("service of the leader failed", role=self.role)
+            self._drop_term_state()
+            await anyio.sleep(RETRY_SECONDS)
+
+    async def _run(self) -> None:
         async with anyio.create_task_group() as tasks:
             while True:
                 self._wakeup = wakeup = anyio.Event()
@@ -226,7 +240,7 @@
             self.links[number] = LinkedProcess(queue, scope)
             try:
                 if reason := term_state.link_opened(number, hello.name, hello.instance_id, self.clock()):
-                    self._warning(
+                    self._rate_limited_log.warning(
                         "process rejected by the leader", role=self.role, name=hello.name, reason=reason
                     )
                     return
