Let no connection, message or file of a peer end a replica or a front

What callers would see, each with a real process before this change: a replica that lacks a descriptor ends with status 1 at its next accept ("Too many open files"); a member whose message cannot be handled ends every other one that has dialed it (AppendEntries with an entry that is no membership: DecodeError in the log's append, found by 3,000 random histories of messages); an error over a message of the leader ends a front; a report of counters over 1 MB ends the front that sends it (ValueError); an operator's file with deeply nested lists ends a front at SIGHUP (RecursionError).

Change: replicas accept in a loop that logs and retries; both kinds of links that a process opens end after an error and are opened again, but for a JournalError, after which a replica must stop; a message that fits no frame is dropped and logged; a document of the policy that cannot be checked or applied is a reason not to serve under it.

--- a/zincladder/config/environment.py
+++ b/zincladder/config/environment.py
@@ -55,5 +55,5 @@
     """Returns an operator's file as parsed TOML; raises ConfigError if it cannot be read or is not TOML."""
     try:
         return tomllib.loads(Path(path).read_text())
-    except (OSError, ValueError) as error:
+    except (OSError, ValueError, RecursionError) as error:
         raise ConfigError(f"'ZINCLADDER_OPERATOR' cannot be read: {error}") from None
--- a/zincladder/consensus/peer_links.py
+++ b/zincladder/consensus/peer_links.py
@@ -14,6 +14,7 @@
 from zincladder.consensus.disk_writer import DiskWriter
 from zincladder.consensus.model import Membership, Message
 from zincladder.consensus.store import ReplicaStore
+from zincladder.durable.errors import JournalError
 from zincladder.links.connection import LINK_ERRORS, Link, ReconnectBackoff, SendQueue, connect
 from zincladder.links.errors import HandshakeRejectedError
 from zincladder.links.frames import VERSION, Hello, Welcome
@@ -54,7 +55,7 @@
         # yet, so it can send over these links only.
         self._accepted_queues: dict[str, SendQueue] = {}
         self._membership = Membership({})  # the membership of the latest `dial`
-        self._warning = RateLimitedLog().warning
+        self._rate_limited_log = RateLimitedLog()
 
     def send(self, to: str, message: Message) -> None:
         """Queues a message to a member; drops it if this replica neither dials it nor has a link from it."""
@@ -101,6 +102,10 @@
                         log.error("connection to another replica rejected", replica=name, reason=reason)
                 except* LINK_ERRORS:
                     pass
+                except* JournalError:
+                    raise  # a replica that cannot write must stop
+                except* Exception:  # an error over one message must not stop a voting replica
+                    self._rate_limited_log.exception("link to another replica failed", replica=name)
                 await anyio.sleep(backoff.next_seconds())
 
     async def _run_link(self, link: Link, name: str, queue: SendQueue) -> None:
@@ -146,7 +151,7 @@
         try:
             await self._run_link(link, hello.name, queue)
         except* HandshakeRejectedError as errors:
-            self._warning("connection rejected", reason=str(errors.exceptions[0]))
+            self._rate_limited_log.warning("connection rejected", reason=str(errors.exceptions[0]))
         except* LINK_ERRORS:
             pass
         finally:
--- a/zincladder/consensus/server.py
+++ b/zincladder/consensus/server.py
@@ -27,6 +27,7 @@
 from zincladder.links.connection import LINK_ERRORS, Link, accept_handshake
 from zincladder.links.errors import FrameError, HandshakeRejectedError
 from zincladder.links.frames import Hello, Welcome, handshake_error
+from zincladder.support.listeners import accept_streams
 from zincladder.support.rate_limited_log import RateLimitedLog
 
 MAX_LINKS = 4096  # up to 2,048 fronts with one link each, and a second one during an upgrade
@@ -80,7 +81,7 @@
         listener = await anyio.create_tcp_listener(local_host=host, local_port=port)
         port = listener.extra(anyio.abc.SocketAttribute.local_port)
         async with listener, anyio.create_task_group() as tasks:
-            tasks.start_soon(listener.serve, self._handle_connection)
+            tasks.start_soon(accept_streams, listener, self._handle_connection, self._warning)
             self._peers.dial(self.node.membership, tasks)
             log.info(
                 "replica started",
--- a/zincladder/links/connection.py
+++ b/zincladder/links/connection.py
@@ -11,9 +11,10 @@
 import anyio
 import anyio.abc
 import msgspec
+import structlog
 
 from zincladder.config import Address
-from zincladder.links.errors import FrameError, HandshakeRejectedError
+from zincladder.links.errors import FrameError, HandshakeRejectedError, MessageTooLargeError
 from zincladder.links.frames import (
     MAX_BODY_BYTES,
     MAX_HANDSHAKE_BYTES,
@@ -32,6 +33,7 @@
 MAX_BACKOFF_SECONDS = 1.0
 MAX_BACKOFF_DOUBLINGS = 5
 T = TypeVar("T")
+log = structlog.get_logger()
 CONNECTION_ERRORS = (
     OSError,
     anyio.BrokenResourceError,
@@ -51,7 +53,11 @@
         self._send_lock = anyio.Lock()
 
     async def send(self, message: Any) -> None:
-        """Sends one message. Raises TimeoutError if the peer does not read it in time."""
+        """Sends one message.
+
+        Raises TimeoutError if the peer does not read it in time, and MessageTooLargeError if it does not fit
+        a frame; the link can still be used then.
+        """
         data = encode_frame(msgspec.msgpack.encode(message))
         async with self._send_lock:
             with anyio.fail_after(IO_TIMEOUT_SECONDS):
@@ -134,10 +140,14 @@
         return not self._messages
 
     async def send_to(self, link: Link) -> None:
-        """Sends messages as they are added, until the link fails."""
+        """Sends messages as they are added, until the link fails. Drops those that do not fit a frame."""
         while True:
             while self._messages:
-                await link.send(self._messages.popleft())
+                message = self._messages.popleft()
+                try:
+                    await link.send(message)
+                except MessageTooLargeError as error:
+                    log.error("message dropped", message=type(message).__name__, reason=str(error))
             self._message_added = anyio.Event()
             await self._message_added.wait()
 
--- a/zincladder/links/frames.py
+++ b/zincladder/links/frames.py
@@ -14,7 +14,7 @@
 import msgspec
 from crc32c import crc32c
 
-from zincladder.links.errors import FrameError
+from zincladder.links.errors import FrameError, MessageTooLargeError
 
 VERSION = 1
 FRAME_HEADER = struct.Struct(">II")
@@ -54,9 +54,9 @@
 
 
 def encode_frame(body: bytes) -> bytes:
-    """Encodes a body as a frame. Raises ValueError if it exceeds MAX_BODY_BYTES."""
+    """Encodes a body as a frame. Raises MessageTooLargeError if it exceeds MAX_BODY_BYTES."""
     if len(body) > MAX_BODY_BYTES:
-        raise ValueError(f"message of {len(body)} bytes exceeds {MAX_BODY_BYTES} bytes")
+        raise MessageTooLargeError(f"message of {len(body)} bytes exceeds {MAX_BODY_BYTES} bytes")
     return FRAME_HEADER.pack(len(body), crc32c(body)) + body
 
 
--- a/zincladder/links/leader_link.py
+++ b/zincladder/links/leader_link.py
@@ -13,6 +13,7 @@
 from zincladder.links.connection import LINK_ERRORS, Link, ReconnectBackoff, SendQueue, connect
 from zincladder.links.errors import HandshakeRejectedError
 from zincladder.links.frames import Hello
+from zincladder.support.rate_limited_log import RateLimitedLog
 
 MAX_QUEUED_MESSAGES = 64
 FLUSH_POLL_SECONDS = 0.005
@@ -49,6 +50,7 @@
         self._addresses, self._hello, self._messages = addresses, hello, messages
         self._handler, self._random = handler, generator
         self._logged_rejection = ""
+        self._rate_limited_log = RateLimitedLog()
         self.send_queue = SendQueue(MAX_QUEUED_MESSAGES)
 
     async def flush(self, timeout_seconds: float) -> None:
@@ -92,6 +94,8 @@
             self._log_rejection(f"{name}: {errors.exceptions[0]}")
         except* LINK_ERRORS:
             pass
+        except* Exception:  # an error over one message of a replica must not end the process
+            self._rate_limited_log.exception("link to a replica failed", replica=name, role=self._hello.role)
         return leader
 
     def _log_rejection(self, reason: str) -> None:
--- a/zincladder/policy/lease_client.py
+++ b/zincladder/policy/lease_client.py
@@ -98,15 +98,26 @@
             for message in actions.messages:
                 self.leader.send_queue.put(message)
             for request in actions.validate:
-                self.participant.validated(request, self._hooks.validate(request.content))
+                self.participant.validated(request, self._validate(request.content))
             for document, content in actions.apply:
                 self._apply(document, content)
             if not (actions.messages or actions.validate or actions.apply):
                 return
             self.wake()
 
+    def _validate(self, content: bytes) -> tuple[str, ...]:
+        try:
+            return self._hooks.validate(content)
+        except Exception as error:  # a document must not be able to end the fronts that check it
+            log.exception("policy could not be checked")
+            return (f"it could not be checked: {type(error).__name__}",)
+
     def _apply(self, document: str, content: bytes) -> None:
-        failure = self._hooks.apply(content)
+        try:
+            failure = self._hooks.apply(content)
+        except Exception as error:  # the front serves on under no lease rather than end
+            log.exception("policy could not be applied")
+            failure = f"it could not be applied: {type(error).__name__}"
         self.participant.applied(document, failure)
         if failure:
             log.error("policy not applied", reason=failure)
--- a/zincladder/support/listeners.py
+++ b/zincladder/support/listeners.py
@@ -4,11 +4,13 @@
 
 import errno
 import socket
-from collections.abc import Callable
-from typing import Protocol
+from collections.abc import Callable, Coroutine
+from typing import Any, Protocol
 
 import anyio
+import anyio.abc
 import anyio.lowlevel
+from anyio.streams.stapled import MultiListener
 
 BACKLOG = 1024  # connections in the kernel's listen queue
 # Errors of accept(2) that report a lack of file descriptors or memory.
@@ -71,3 +73,34 @@
             continue
         handle(sock, peer[0] if peer else "")
         await anyio.lowlevel.checkpoint()
+
+
+async def accept_streams(
+    listener: MultiListener[anyio.abc.SocketStream],
+    handle: Callable[[anyio.abc.SocketStream], Coroutine[Any, Any, None]],
+    warn: LogWarning,
+) -> None:
+    """Runs `handle` in a task for each new connection, until cancelled.
+
+    A failed accept is logged and retried. `handle` must not raise.
+    """
+    async with anyio.create_task_group() as tasks:
+        for part in listener.listeners:
+            assert isinstance(part, anyio.abc.SocketListener)
+            tasks.start_soon(_accept_streams_of, part, handle, tasks, warn)
+
+
+async def _accept_streams_of(
+    listener: anyio.abc.SocketListener,
+    handle: Callable[[anyio.abc.SocketStream], Coroutine[Any, Any, None]],
+    tasks: anyio.abc.TaskGroup,
+    warn: LogWarning,
+) -> None:
+    while True:
+        try:
+            stream = await listener.accept()
+        except OSError as error:
+            warn("failed to accept a connection", reason=str(error))
+            await anyio.sleep(ACCEPT_RETRY_SECONDS)
+            continue
+        tasks.start_soon(handle, stream)
