Publish the rendezvous path and the control socket again when they vanish

What callers would see: after somebody has emptied $TMPDIR, the next process of an upgrade finds no path, opens a listening socket of its own, and the connections in the old one's queue are reset; after the control socket's file was removed, also by a new process that ended before the old one, no command reaches the front.

Change: the process without a successor publishes a path that is missing, checked each second, and retries after an error instead of giving up for good; the command server binds its path again. A failed accept at the rendezvous socket no longer spins while no descriptor is free.

--- a/tests/control/test_commands.py
+++ b/tests/control/test_commands.py
@@ -84,3 +84,23 @@
     with pytest.raises(ConfigError, match="not a socket"):
         bind(str(path))
     assert path.read_text() == "kept"
+
+
+async def test_a_removed_socket_is_opened_again(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    # Guards against a front that no command reaches after somebody, or a new process that ended before it,
+    # has removed the socket's file.
+    monkeypatch.setattr("zincladder.control.command_server.PATH_CHECK_SECONDS", 0.05)
+    path = tmp_path / "control"
+    operator = {"admission": {}, "control": {"socket": str(path)}}
+    async with running_front(serve, operator=operator):
+        for _ in range(2):
+            path.unlink()
+            with anyio.fail_after(5):
+                while not path.exists():
+                    await anyio.sleep(0.01)
+            assert (await run_command("admission", "--socket", str(path), "top")).exit_code == 0
+            assert stat.S_IMODE(path.stat().st_mode) == 0o600
+        path.unlink()
+        path.write_text("somebody else's")
+        await anyio.sleep(0.2)
+    assert path.read_text() == "somebody else's"
--- a/tests/handover/test_upgrade.py
+++ b/tests/handover/test_upgrade.py
@@ -21,6 +21,7 @@
 from tests.support.service_client import Client
 from tests.support.stub_cache import StubCache
 from zincladder.admission.connection_slots import MIN_IDLE_SECONDS
+from zincladder.handover.host import POLL_SECONDS
 
 pytestmark = pytest.mark.anyio
 
@@ -227,3 +228,32 @@
         await front.until(front.ready)
     finally:
         front.process.kill()
+
+
+@pytest.mark.parametrize("vanishes", ["path", "folder"])
+async def test_an_upgrade_takes_the_listening_socket_over_after_the_path_has_vanished(
+    tmp_path: Path, vanishes: str
+) -> None:
+    # Guards against connections lost at an upgrade after somebody has emptied the temporary folder.
+    address = f"127.0.0.1:{free_port()}"
+    config = configuration([StubCache("s-000000b0", 2, port=1).endpoint()]) | {"listen": address}
+    folder = tmp_path / "rendezvous"
+    folder.mkdir()
+    path = folder / f"zincladder-{address.replace(':', '-')}.sock"
+    fronts = [FrontProcess(tmp_path, config, TMPDIR=str(folder))]
+    try:
+        await fronts[0].until(lambda: path.exists() and fronts[0].ready())
+        path.unlink()
+        if vanishes == "folder":
+            folder.rmdir()
+            await anyio.sleep(2 * POLL_SECONDS)  # the path is missed, and cannot be published
+            folder.mkdir()
+        await fronts[0].until(path.exists)
+        fronts.append(FrontProcess(tmp_path, config, TMPDIR=str(folder)))
+        await fronts[1].until(fronts[1].ready)
+        assert b"taken over" in fronts[1].log.read_bytes()
+        fronts[0].process.send_signal(signal.SIGTERM)
+        assert await fronts[0].ended() == 0 and path.exists() and fronts[1].ready()
+    finally:
+        for front in fronts:
+            front.process.kill()
--- a/zincladder/control/command_server.py
+++ b/zincladder/control/command_server.py
@@ -21,6 +21,7 @@
 
 TEMPORARY_SUFFIX = ".n"  # short, since the path may take 100 of the 108 bytes of sockaddr_un
 IDLE_TIMEOUT_SECONDS = 10.0
+PATH_CHECK_SECONDS = 1.0  # between two checks whether the socket's file was removed
 BACKLOG = 8
 OWNER_ONLY_UMASK = 0o177
 READ_BYTES = 4096
@@ -95,6 +96,7 @@
         self._path, self._table, self._descriptors = path, table, descriptors
         self._listener = bind(path, replaces)
         self._inode = os.stat(path).st_ino
+        self._rate_limited_log = RateLimitedLog()
 
     async def run(self) -> None:
         """Answers commands until cancelled, then closes the socket and removes its file."""
@@ -107,11 +109,34 @@
                     else:
                         sock.close()
 
-                await accept_connections(self._listener, handle, RateLimitedLog().warning)
+                while True:
+                    with anyio.CancelScope() as accepting:
+                        tasks.start_soon(self._bind_again_if_removed, accepting)
+                        await accept_connections(self._listener, handle, self._rate_limited_log.warning)
         finally:
             self._listener.close()
             self._unlink_path()
 
+    async def _bind_again_if_removed(self, accepting: anyio.CancelScope) -> None:
+        """Opens the socket again once its file was removed, and then cancels `accepting`.
+
+        The file is removed by somebody, or by a new process of this front that has ended before this one.
+        """
+        while True:
+            await anyio.sleep(PATH_CHECK_SECONDS)
+            if os.path.lexists(self._path):
+                continue
+            try:
+                listener = bind(self._path, replaces=True)
+                self._inode = os.stat(self._path).st_ino
+            except (ControlSocketError, OSError) as error:
+                self._rate_limited_log.warning("control socket could not be opened again", reason=str(error))
+                continue
+            self._listener.close()
+            self._listener = listener
+            accepting.cancel()
+            return
+
     def _unlink_path(self) -> None:
         """Removes the socket file, unless another front has replaced it with its own."""
         with contextlib.suppress(OSError):
--- a/zincladder/handover/host.py
+++ b/zincladder/handover/host.py
@@ -18,9 +18,12 @@
 
 from zincladder.config import Address
 from zincladder.handover.model import MAX_HELLO_BYTES, Hello, HelloError, ProcessGenerations, decode
+from zincladder.support.rate_limited_log import RateLimitedLog
 
 EXCHANGE_TIMEOUT_SECONDS = 1.0  # a process waits so long for the message of the other one
+PUBLISH_RETRY_SECONDS = 5.0  # delay before the rendezvous path is published again after an error
 POLL_SECONDS = 1.0  # between two checks whether the rendezvous path must be published again
+LOG_INTERVAL_SECONDS = 600.0  # least time between two lines about a path that cannot be published
 BACKLOG = 2
 MAX_DESCRIPTORS = 4  # received with one message
 PRIVATE_UMASK = 0o177  # only the user of this process may connect
@@ -63,6 +66,7 @@
         self.generations = ProcessGenerations()
         self._predecessor: socket.socket | None = None
         self._published_inode = 0
+        self._rate_limited_log = RateLimitedLog(LOG_INTERVAL_SECONDS)
 
     # As the new process ---------------------------------------------------------------------------
 
@@ -124,13 +128,14 @@
                 try:
                     server = self._publish()
                 except EXCHANGE_ERRORS as error:
-                    log.info(
+                    self._rate_limited_log.info(
                         "cannot open the rendezvous socket; later processes open their own listening socket",
                         reason=str(error),
                     )
-                    return
+                    await anyio.sleep(PUBLISH_RETRY_SECONDS)
+                    continue
                 try:
-                    # Returns once a new process that replaced the path has ended; it is then published again.
+                    # Returns once the path has to be published again.
                     await self._accept_new_processes(server, listener, tasks)
                 finally:
                     server.close()
@@ -188,17 +193,26 @@
                 await anyio.wait_readable(server)
             if self._must_publish_again():
                 return
-            with contextlib.suppress(OSError):
+            try:
                 sock, _ = server.accept()
-                tasks.start_soon(self._transfer_listener, sock, listener)
+            except BlockingIOError:
+                continue
+            except (
+                OSError
+            ):  # no descriptor is free: the socket stays readable, and a retry at once would spin
+                await anyio.sleep(POLL_SECONDS)
+                continue
+            tasks.start_soon(self._transfer_listener, sock, listener)
 
     def _must_publish_again(self) -> bool:
-        """Returns whether a newer process that replaced the rendezvous path has ended.
+        """Returns whether the path was removed, or a newer process that replaced it has ended.
 
         Only a process that exchanged messages with this one counts. A process of another version keeps the
         path that it replaced; otherwise the two would replace each other's path again and again.
         """
         generations = self.generations
+        if not generations.has_successor and not os.path.lexists(self._path):
+            return True  # without it, the connections in this process's listen queue are lost at an upgrade
         if not generations.lost_successor or generations.process_count > 1:
             return False
         generations.lost_successor = False
