Wait for the whole of a late answer before the list counts as current

Cause: the answer to a catch-up request is all later events, and the first frame of it made the list current. The waiting requests were decided then, though the drain of their endpoint was a frame behind.

Change: an answer is complete with an empty frame, which says that nothing follows, or once no frame has followed for 30 ms; the protocol names no end of it, and a coordinator that pauses for longer within an answer is not waited for. What could be used before the answer can be used meanwhile, and the limits of each phase hold as before.

--- a/tests/discovery/test_freshness.py
+++ b/tests/discovery/test_freshness.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from zincladder.discovery.freshness import (
+    ANSWER_GAP_SECONDS,
     INITIAL_SYNC_SECONDS,
     MAX_FAILED_ATTEMPTS,
     RESYNC_SECONDS,
@@ -104,3 +105,44 @@
     assert freshness.seconds_until_usable(105.1) > 0
     freshness.frame_received(105.2)
     assert freshness.seconds_until_usable(105.2) == 0
+
+
+def test_an_answer_in_several_frames_is_used_once_no_more_follow() -> None:
+    # Guards against requests that are decided between two events of a late answer, of which the second one
+    # drains their endpoint.
+    freshness = Freshness(0.5)
+    freshness.connect_started(100.0)
+    freshness.catch_up_requested(100.1)
+    for at in (101.6, 101.605, 101.61):
+        freshness.frame_received(at, ends_answer=False)
+        assert 0 < freshness.seconds_until_usable(at + 0.004) <= ANSWER_GAP_SECONDS
+    assert not freshness.has_synced(101.62)
+    assert freshness.seconds_until_usable(101.61 + ANSWER_GAP_SECONDS) == 0
+    assert freshness.phase is WatchPhase.FOLLOWING
+    freshness.frame_received(102.0, ends_answer=False)  # an event of the open watch
+    assert freshness.seconds_until_usable(102.0) == 0
+
+
+def test_an_empty_frame_ends_an_answer_and_an_endless_answer_ends_with_the_phase() -> None:
+    freshness = Freshness(0.5)
+    freshness.connect_started(100.0)
+    freshness.catch_up_requested(100.1)
+    freshness.frame_received(100.2, ends_answer=False)
+    freshness.frame_received(100.21)
+    assert freshness.seconds_until_usable(100.21) == 0
+    freshness.watch_failed(101.0)
+    freshness.catch_up_requested(101.1)
+    at = 101.1
+    while at < 101.0 + RESYNC_SECONDS:
+        freshness.frame_received(at, ends_answer=False)
+        at += 0.02
+    assert freshness.seconds_until_usable(101.0 + RESYNC_SECONDS) == 0
+
+
+def test_an_answer_that_breaks_off_is_no_answer() -> None:
+    freshness = Freshness(0.5)
+    freshness.connect_started(100.0)
+    freshness.catch_up_requested(100.1)
+    freshness.frame_received(100.2, ends_answer=False)
+    freshness.watch_failed(100.21)
+    assert freshness.seconds_until_usable(100.21 + ANSWER_GAP_SECONDS) > 1
--- a/zincladder/discovery/freshness.py
+++ b/zincladder/discovery/freshness.py
@@ -7,12 +7,16 @@
 
 States and transitions of the watch on the coordinator:
 
-    STARTING ----- frame ----> FOLLOWING ---- failure ----> RECONNECTING
+    STARTING ----- answer ---> FOLLOWING ---- failure ----> RECONNECTING
     STARTING ----- MAX_FAILED_ATTEMPTS failures ----------> UNREACHABLE
-    RECONNECTING - frame ----> FOLLOWING
+    RECONNECTING - answer ---> FOLLOWING
     RECONNECTING - MAX_FAILED_ATTEMPTS failures ----------> UNREACHABLE
-    UNREACHABLE -- frame ----> FOLLOWING
-    UNREACHABLE -- catch-up request, if the last attempt did not time out --> RECONNECTING
+    UNREACHABLE -- answer ---> FOLLOWING
+    UNREACHABLE -- frame of an answer, or catch-up request, if the last attempt did not time out
+                                                      ----> RECONNECTING
+
+The answer to a catch-up request is all later events, and nothing in it says which one is the last. It is
+complete with an empty frame, or once no frame has followed for ANSWER_GAP_SECONDS.
 """
 
 from __future__ import annotations
@@ -26,6 +30,8 @@
 # out of service.
 INITIAL_SYNC_SECONDS = 3.0
 RESYNC_SECONDS = 1.6  # longest wait for a later frame: a stalled coordinator must not stop the whole fleet
+# The events of an answer are written one after the other; a longer gap between two frames ends the answer.
+ANSWER_GAP_SECONDS = 0.03
 # After this many failed attempts in a row, the coordinator counts as unreachable. Fewer are tolerated:
 # a connect may fail briefly, and a watch may be interrupted once.
 MAX_FAILED_ATTEMPTS = 3
@@ -52,6 +58,7 @@
         self._phase_since: float | None = None  # in STARTING: the beginning of the first attempt
         self._last_frame_at = -math.inf
         self._catch_up_requested_at = math.inf  # time of the unanswered catch-up request
+        self._answer_frame_at: float | None = None  # time of the latest frame of an incomplete answer
         self._failed_attempts = 0  # since the last frame
         self._timed_out = False  # the last attempt connected, but received no frame in time
         self._synced = False
@@ -69,10 +76,23 @@
         if self.phase is WatchPhase.UNREACHABLE and not self._timed_out:
             self._enter(WatchPhase.RECONNECTING, now)
 
-    def frame_received(self, now: float) -> None:
-        """A frame has arrived, so all earlier events have been received."""
-        self.phase, self._last_frame_at, self._catch_up_requested_at = WatchPhase.FOLLOWING, now, math.inf
+    def frame_received(self, now: float, ends_answer: bool = True) -> None:
+        """A frame has arrived, so all earlier events have been received.
+
+        If it belongs to the answer to a catch-up request, more may follow at once, unless `ends_answer`.
+        """
         self._failed_attempts, self._timed_out = 0, False
+        if ends_answer or self._catch_up_requested_at == math.inf:
+            self._follow(now)
+            return
+        self._answer_frame_at = now
+        if self.phase is WatchPhase.UNREACHABLE:
+            self._enter(WatchPhase.RECONNECTING, now)
+
+    def _follow(self, frame_at: float) -> None:
+        """All events up to a frame have been received."""
+        self.phase, self._last_frame_at = WatchPhase.FOLLOWING, frame_at
+        self._catch_up_requested_at, self._answer_frame_at = math.inf, None
 
     def watch_failed(self, now: float, timed_out: bool = False) -> None:
         """The connection failed or ended; `timed_out` is true if it was open but received no frame in time.
@@ -80,6 +100,7 @@
         In UNREACHABLE, decisions do not wait again for a coordinator that timed out. They do for one that
         closed the connection: this costs no time, and the coordinator may have recovered.
         """
+        self._answer_frame_at = None
         if self.phase is WatchPhase.FOLLOWING:
             self._enter(WatchPhase.RECONNECTING, now)
             return
@@ -104,6 +125,15 @@
         return self._synced or self.seconds_until_usable(now) == 0
 
     def _seconds_until_usable(self, now: float) -> float:
+        if self._answer_frame_at is None:
+            return self._seconds_in_phase(now)
+        gap_left = self._answer_frame_at + ANSWER_GAP_SECONDS - now
+        if gap_left > 0:
+            return min(gap_left, self._seconds_in_phase(now))
+        self._follow(self._answer_frame_at)
+        return self._seconds_in_phase(now)
+
+    def _seconds_in_phase(self, now: float) -> float:
         stale = now - self._last_frame_at > STALE_AFTER_SECONDS
         match self.phase:
             case WatchPhase.STARTING:
--- a/zincladder/net/coordinator_watch.py
+++ b/zincladder/net/coordinator_watch.py
@@ -14,7 +14,7 @@
 from zincladder.core.attempt_end import EndReason
 from zincladder.discovery.freshness import Freshness
 from zincladder.net.errors import ConnectionEndedError
-from zincladder.net.events import Frame, FrameReader, WatchEvent, read_event
+from zincladder.net.events import KIND_NO_EVENT, Frame, FrameReader, WatchEvent, read_event
 from zincladder.net.sockets import connect
 from zincladder.net.write_queue import WriteQueue
 from zincladder.support.rate_limited_log import RateLimitedLog
@@ -59,6 +59,7 @@
         self._backoff_seconds = MIN_BACKOFF_SECONDS
         self._rate_limited_log = RateLimitedLog()
         self._connection: _WatchConnection | None = None
+        self._last_frame: Frame | None = None
         self._polled_at = 0.0
 
     def follow(self, coordinator: Address) -> None:
@@ -132,6 +133,7 @@
             self._on_change()
 
     def _on_frame(self, frame: Frame, waited_seconds: float) -> None:
+        self._last_frame = frame
         if not self.connected:
             self._rate_limited_log.info(
                 "connected to the coordinator",
@@ -148,7 +150,9 @@
 
     def _on_frames_complete(self) -> None:
         """Runs when all frames received so far were applied and none is incomplete."""
-        self._freshness.frame_received(monotonic())
+        last = self._last_frame
+        nothing_follows = last is not None and last.kind == KIND_NO_EVENT and last.number <= self.last_event
+        self._freshness.frame_received(monotonic(), ends_answer=nothing_follows)
         self._on_change()
 
 
--- a/zincladder/net/events.py
+++ b/zincladder/net/events.py
@@ -20,7 +20,7 @@
 ENDPOINT_RECORD = struct.Struct(">I4sHBBBHIQ")  # fields in the order of `_read_endpoint`
 OBJECT_PURGE = struct.Struct(">QQ")  # object, Unix time in milliseconds
 GROUP_PURGE = struct.Struct(">HQ")  # group, Unix time in milliseconds
-KIND_FULL_LIST, KIND_LIST_CHANGES, KIND_OBJECT_PURGE, KIND_GROUP_PURGE = range(1, 5)  # 0: no event
+KIND_NO_EVENT, KIND_FULL_LIST, KIND_LIST_CHANGES, KIND_OBJECT_PURGE, KIND_GROUP_PURGE = range(5)
 
 
 @dataclass(frozen=True, slots=True)
