Leave a log as it was after an unusable entry, and send nothing twice after a failed cursor

A membership that cannot be decoded was appended to the log before it was decoded. The log decodes first now, all entries of a message before it changes anything.

What was sent is kept over the reopening now, and a cursor counts as behind until its write has succeeded.

--- a/tests/consensus/test_hostile_peers.py
+++ b/tests/consensus/test_hostile_peers.py
@@ -11,10 +11,20 @@
 import anyio
 import anyio.abc
 import anyio.to_thread
+import msgspec
 import pytest
 
 from tests.processes import GROUP, ProcessCluster, process_cluster
-from zincladder.consensus.model import AppendEntries, Entry, EntryKind
+from zincladder.consensus.log import Log
+from zincladder.consensus.model import (
+    AppendEntries,
+    Entry,
+    EntryKind,
+    HardState,
+    Membership,
+    Snapshot,
+    StoredState,
+)
 from zincladder.links.connection import Link, connect
 from zincladder.links.frames import VERSION, Hello, Welcome
 
@@ -23,6 +33,21 @@
 MAX_DESCRIPTORS = 48
 
 
+def test_entries_that_cannot_be_decoded_leave_the_log_as_it_was() -> None:
+    # Guards against an entry that stays in the log of one member and that no other member takes.
+    members = Membership({"k1": "127.0.0.1:1", "k2": "127.0.0.1:2"})
+    log = Log(StoredState(HardState(), Snapshot(0, 0, members)))
+    log.append(Entry(1, EntryKind.DATA, b"kept"))
+    log.append(Entry(1, EntryKind.DATA, b"kept too"))
+    unusable = Entry(2, EntryKind.MEMBERS, b"\xc1 no membership")
+    for first_index in (1, 2, 3):
+        with pytest.raises(msgspec.DecodeError):
+            log.replace_from(first_index, (Entry(2, EntryKind.DATA, b"new"), unusable))
+        with pytest.raises(msgspec.DecodeError):
+            log.append(unusable)
+        assert (log.last_index, log.term_at(1), log.term_at(2)) == (2, 1, 1)
+
+
 async def answers(cluster: ProcessCluster, name: str) -> None:
     """Waits until a replica answers, and fails with its log if it has ended."""
 
@@ -114,3 +139,5 @@
             tasks.cancel_scope.cancel()
         await answers(r, "k1")
         await answers(r, "k2")
+        # The group works on: the entry is in nobody's log.
+        assert await r.write("key", b"value", "k1", "k2") > 0
--- a/zincladder/consensus/log.py
+++ b/zincladder/consensus/log.py
@@ -89,10 +89,13 @@
         return index
 
     def append(self, entry: Entry) -> int:
-        """Appends an entry and returns its index."""
+        """Appends an entry and returns its index.
+
+        Raises msgspec.DecodeError for a membership that cannot be decoded; the log is unchanged then.
+        """
+        membership = _membership_of(entry)
         self._entries.append(entry)
-        if entry.kind is EntryKind.MEMBERS:
-            membership: Membership = msgspec.msgpack.decode(entry.data, type=Membership)
+        if membership is not None:
             self._memberships.append(_IndexedMembership(self.last_index, membership))
         return self.last_index
 
@@ -100,8 +103,12 @@
         """Makes the log hold `entries` from `first_index` on.
 
         The log is truncated only at an entry that differs. Entries after matching ones are kept, because
-        `entries` may come from a delayed message.
+        `entries` may come from a delayed message. Raises msgspec.DecodeError for a membership that cannot be
+        decoded; the log is unchanged then.
         """
+        entries = list(entries)
+        for entry in entries:
+            _membership_of(entry)
         for index, entry in enumerate(entries, first_index):
             if index <= self.last_index and self.term_at(index) != entry.term:
                 self._truncate(index)
@@ -141,3 +148,11 @@
         first_index = max(self.stored_index, self.snapshot_index) + 1
         self.stored_index = self.last_index
         return first_index, self.entries_from(first_index)
+
+
+def _membership_of(entry: Entry) -> Membership | None:
+    """The membership in an entry; None if it is an entry of another kind."""
+    if entry.kind is not EntryKind.MEMBERS:
+        return None
+    membership: Membership = msgspec.msgpack.decode(entry.data, type=Membership)
+    return membership
--- a/zincladder/export/batch_queue.py
+++ b/zincladder/export/batch_queue.py
@@ -50,6 +50,7 @@
         self._memory = MemoryStore(config.max_memory_bytes)
         self._sent_next: SpooledBatch | None = None  # the batch that `oldest` returned
         self._lost_in_closed_spools = 0
+        self._min_acknowledged = 0  # number of the last batch sent from a spool that was closed since
         self._waited_for_lock = False  # another process held the lock when this one last tried
         self._rate_limited_log = RateLimitedLog(LOG_INTERVAL_SECONDS)
         try:
@@ -140,6 +141,7 @@
         if self._spool is None or self._lock is None:
             return
         was_replaced = self._lock.was_replaced()
+        self._min_acknowledged = 0 if was_replaced else self._spool.acknowledged
         removed_batches = self._close_spool(self._spool)
         if was_replaced:
             self._waited_for_lock = True
@@ -175,11 +177,12 @@
         if not is_free:
             self._wait_for_lock()
             return
-        self._spool = Spool(self._folder, self._max_spool_bytes)
+        self._spool = Spool(self._folder, self._max_spool_bytes, self._min_acknowledged)
         self._drop_superseded_batches(self._spool)
         self._log_opened(self._spool)
 
     def _wait_for_lock(self) -> None:
+        self._min_acknowledged = 0  # the numbers are those of the other process from now on
         if not self._waited_for_lock:
             self._waited_for_lock = True
             log.info(
--- a/zincladder/export/spool.py
+++ b/zincladder/export/spool.py
@@ -57,12 +57,13 @@
     second time, never one before it.
     """
 
-    def __init__(self, folder: Path, max_bytes: int) -> None:
+    def __init__(self, folder: Path, max_bytes: int, min_acknowledged: int = 0) -> None:
         """Opens a spool, or creates an empty one.
 
         Args:
             folder: The folder of the files, which is created if it does not exist.
             max_bytes: The limit on all segments together. The segment that is written to is never dropped.
+            min_acknowledged: The number of a batch that this process has sent, also if no cursor says so.
 
         Raises:
             SpoolError: The folder cannot be used.
@@ -75,7 +76,7 @@
         self._max_segment_bytes = max(MIN_SEGMENT_BYTES, max_bytes // SEGMENTS_OF_FULL_SPOOL)
         self._segments: deque[_Segment] = deque()  # in the order of their batches
         self._next_number = 1
-        self._acknowledged = 0  # number of the last batch that was sent or given up
+        self.acknowledged = min_acknowledged  # number of the last batch that was sent or given up
         self._cursor: SpoolCursor | None = None
         self._cursor_behind = False  # the last write of the cursor failed
         self._segment_file: int | None = None  # file descriptor of the segment that is written to, the last
@@ -88,7 +89,7 @@
 
     def __len__(self) -> int:
         """Returns the number of batches that wait to be sent."""
-        return sum(segment.unsent(self._acknowledged) for segment in self._segments)
+        return sum(segment.unsent(self.acknowledged) for segment in self._segments)
 
     @property
     def size_bytes(self) -> int:
@@ -105,16 +106,16 @@
         self._recover_segments()
         last = self._segments[-1].last if self._segments else 0
         first = self._segments[0].first if self._segments else 1
-        if acknowledged is not None:
-            self._acknowledged = acknowledged
+        if acknowledged is not None or self.acknowledged:
+            self.acknowledged = max(self.acknowledged, acknowledged or 0)
             self.lost_batches = self._missing_batches()
         else:
             # Without a valid cursor it is unknown which batches were sent, and the receiver must not get old
             # samples after newer ones. So all stored batches are given up.
-            self._acknowledged = last
+            self.acknowledged = last
             self.lost_batches = max(0, last - first + 1)
-        self._acknowledged = max(self._acknowledged, first - 1)
-        self._next_number = max(last, self._acknowledged) + 1
+        self.acknowledged = max(self.acknowledged, first - 1)
+        self._next_number = max(last, self.acknowledged) + 1
         for _ in range(CURSOR_SLOTS):  # make both valid: if a write to one is torn, the other is used
             self._write_cursor()
         self._remove_acknowledged_segments()
@@ -122,7 +123,7 @@
     def _missing_batches(self) -> int:
         """Returns how many unsent batches are missing between the segments."""
         return sum(
-            max(0, following.first - 1 - max(segment.last, self._acknowledged))
+            max(0, following.first - 1 - max(segment.last, self.acknowledged))
             for segment, following in pairwise(self._segments)
         )
 
@@ -229,9 +230,9 @@
         if self._segment_file is None or not self._is_removed(self._segments[-1]):
             return
         removed = self._segments[-1]
-        first = max(removed.first, self._acknowledged + 1)
+        first = max(removed.first, self.acknowledged + 1)
         unsent = [record for record in self._records_of(removed) if record.number >= first]
-        lost_batches = removed.unsent(self._acknowledged) - len(unsent)
+        lost_batches = removed.unsent(self.acknowledged) - len(unsent)
         if unsent:
             data = b"".join(records.pack(batch.number, batch.stamp, batch.payload) for batch in unsent)
             file = self._create_segment(first, data)
@@ -254,7 +255,7 @@
 
     def _drop_oldest_segment(self) -> None:
         """Removes the oldest segment, and counts its unsent batches as lost."""
-        unsent_batches = self._segments[0].unsent(self._acknowledged)
+        unsent_batches = self._segments[0].unsent(self.acknowledged)
         if unsent_batches:
             self._give_up(self._segments[0].last, unsent_batches)
         self._remove_acknowledged_segments()
@@ -263,12 +264,12 @@
         """Gives up the batches up to number `last`, and continues with the one after it."""
         self.lost_batches += unsent_batches
         self._read_ahead.clear()
-        self._acknowledged = last
+        self.acknowledged = last
         self._record_cursor()
 
     def _remove_acknowledged_segments(self) -> None:
         """Removes the segments without unsent batches, except the one that is written to."""
-        while self._segments and not self._segments[0].unsent(self._acknowledged):
+        while self._segments and not self._segments[0].unsent(self.acknowledged):
             if len(self._segments) == 1 and self._segment_file is not None:
                 return
             with contextlib.suppress(OSError):  # a file that stays is removed when the spool is opened
@@ -284,7 +285,7 @@
             OSError: A segment cannot be read now, or the cursor cannot be written, so that a batch that was
                 sent could be sent again after a crash. The call may succeed later.
         """
-        while self._read_ahead and self._read_ahead[0].number <= self._acknowledged:
+        while self._read_ahead and self._read_ahead[0].number <= self.acknowledged:
             self._read_ahead.popleft()
         while not self._read_ahead and len(self):
             self._read_segment()
@@ -294,8 +295,8 @@
 
     def _read_segment(self) -> None:
         """Reads the segment of the next batch into memory, which holds at most one segment."""
-        segment = next(segment for segment in self._segments if segment.unsent(self._acknowledged))
-        next_to_send = max(segment.first, self._acknowledged + 1)
+        segment = next(segment for segment in self._segments if segment.unsent(self.acknowledged))
+        next_to_send = max(segment.first, self.acknowledged + 1)
         for record in self._records_of(segment):
             if next_to_send <= record.number <= segment.last:
                 self._read_ahead.append(SpooledBatch(record.number, record.stamp, record.payload))
@@ -304,7 +305,7 @@
             # reading continues with the next segment.
             if segment is self._segments[-1]:
                 self._close_segment()
-            self._give_up(segment.last, segment.unsent(self._acknowledged))
+            self._give_up(segment.last, segment.unsent(self.acknowledged))
 
     def _records_of(self, segment: _Segment) -> list[records.Record]:
         """Returns the records of a segment up to the first invalid one; none if its file was removed.
@@ -328,7 +329,7 @@
         """
         taken: list[SpooledBatch] = []
         for segment in self._segments:
-            unsent_batches = segment.unsent(self._acknowledged)
+            unsent_batches = segment.unsent(self.acknowledged)
             if not unsent_batches or not self._is_removed(segment):
                 continue
             readable = self._still_readable(segment)
@@ -347,7 +348,7 @@
             return [
                 SpooledBatch(record.number, record.stamp, record.payload)
                 for record in self._records_of(segment)
-                if record.number > self._acknowledged
+                if record.number > self.acknowledged
             ]
         return [batch for batch in self._read_ahead if segment.first <= batch.number <= segment.last]
 
@@ -359,19 +360,19 @@
         if not self._read_ahead or self._read_ahead[0].number != batch.number:
             return
         self._read_ahead.popleft()
-        self._acknowledged = batch.number
+        self.acknowledged = batch.number
         self._record_cursor()
         self._remove_acknowledged_segments()
 
     def _record_cursor(self) -> None:
         """Writes the cursor, or leaves that to `oldest` if it fails now."""
-        self._cursor_behind = True
         with contextlib.suppress(OSError):
             self._write_cursor()
 
     def _write_cursor(self) -> None:
         assert self._cursor is not None
-        self._cursor.write(self._acknowledged)
+        self._cursor_behind = True  # also if the file was removed and its new one is still empty
+        self._cursor.write(self.acknowledged)
         self._cursor_behind = False
 
     def restore_removed_files(self) -> None:
