--- a/tests/handover/test_upgrade.py
+++ b/tests/handover/test_upgrade.py
@@ -257,3 +257,23 @@
     finally:
         for front in fronts:
             front.process.kill()
+
+
+async def test_a_process_starts_beside_a_predecessor_that_hangs_with_the_same_control_socket(
+    tmp_path: Path,
+) -> None:
+    # Guards against a front that cannot be replaced while its process hangs: the new one ends with status 2.
+    address = f"127.0.0.1:{free_port()}"
+    config = configuration([StubCache("s-000000b0", 2, port=1).endpoint()]) | {"listen": address}
+    operator = tmp_path / "operator.toml"
+    operator.write_text(f'[control]\nsocket = "{tmp_path}/control"\n')
+    fronts = [FrontProcess(tmp_path, config, ZINCLADDER_OPERATOR=str(operator))]
+    try:
+        await fronts[0].until(fronts[0].ready)
+        fronts[0].process.send_signal(signal.SIGSTOP)
+        fronts.append(FrontProcess(tmp_path, config, ZINCLADDER_OPERATOR=str(operator)))
+        await fronts[1].until(lambda: fronts[1].ready() or fronts[1].process.poll() is not None)
+        assert fronts[1].process.poll() is None, fronts[1].log.read_text()
+    finally:
+        for front in fronts:
+            front.process.kill()
