--- a/review/common_2/rig.py
+++ b/review/common_2/rig.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import contextlib
+import copy
 import json
 import os
 import signal
@@ -400,7 +401,7 @@
 
     def __init__(self, rig: Rig, name: str, command: str, **environ: str) -> None:
         self.log = rig.folder / f"{name}.log"
-        self._command, self._environ = command, environ
+        self._rig, self._command, self._environ = rig, command, environ
         self.process: asyncio.subprocess.Process | None = None
         rig.processes.append(self)
 
@@ -449,6 +450,15 @@
             environ["ZINCLADDER_OPERATOR"] = str(operator_path)
         super().__init__(rig, name, deploy_command("run"), **environ)
 
+    def successor(self) -> Front:
+        """The next process of this front, as at an upgrade: it has another address for operators."""
+        new = copy.copy(self)
+        new.control, new.process = free_port(), None
+        new.log = self.log.with_name(f"{self.log.stem}-next.log")
+        new._environ = self._environ | {"RELAY_CONTROL": f"127.0.0.1:{new.control}"}
+        self._rig.processes.append(new)
+        return new
+
     def write(self) -> None:
         new = self.path.with_suffix(".new")
         new.write_text(json.dumps(self.config))
