--- a/review/common_2/rig.py
+++ b/review/common_2/rig.py
@@ -187,6 +187,8 @@
         self.port = 0
         self.events: list[tuple[int, int, bytes]] = []  # number, kind, payload
         self.asked: list[float] = []  # when a front asked for its events
+        self.answered: list[float] = []  # when the answer to such a question began
+        self.answer_seconds = 0.0  # how long it takes until it answers
         self._writers: set[asyncio.StreamWriter] = set()
         self._server: asyncio.Server | None = None
 
@@ -194,17 +196,26 @@
         self._server = await asyncio.start_server(self._serve, "127.0.0.1", self.port)
         self.port = self._server.sockets[0].getsockname()[1]
 
+    def break_off(self) -> None:
+        """Closes all connections; fronts may connect again."""
+        for writer in list(self._writers):
+            writer.close()
+
     async def go_down(self) -> None:
         """Ends: connections are closed, and new ones are refused."""
         assert self._server is not None
         self._server.close()
-        for writer in list(self._writers):
-            writer.close()
+        self.break_off()
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         try:
             last = int.from_bytes(await reader.readexactly(8), "big")
             self.asked.append(time.time())
+            waiting = asyncio.create_task(reader.read(1))  # ends once the front has closed the connection
+            await asyncio.wait([waiting], timeout=self.answer_seconds)
+            if waiting.done():
+                return
+            self.answered.append(time.time())
             for number, kind, payload in self.events:
                 if number > last:
                     writer.write(_frame(number, kind, payload))
