--- a/review/common_2/rig.py
+++ b/review/common_2/rig.py
@@ -542,9 +542,12 @@
     async def run() -> int:
         with tempfile.TemporaryDirectory(prefix="review-", ignore_cleanup_errors=True) as temporary:
             rig = Rig(Path(temporary), record)
+            playing = asyncio.ensure_future(asyncio.wait_for(play(rig), TIME_LIMIT_SECONDS))
+            for number in (signal.SIGTERM, signal.SIGINT):  # whoever ends the script leaves no process behind
+                asyncio.get_running_loop().add_signal_handler(number, playing.cancel)
             try:
-                broken = await asyncio.wait_for(play(rig), TIME_LIMIT_SECONDS)
-            except Exception as error:
+                broken = await playing
+            except (Exception, asyncio.CancelledError) as error:
                 record.line(f"the case could not run: {type(error).__name__}: {error}")
                 return CANNOT_RUN
             finally:
