--- a/review/8/play.py
+++ b/review/8/play.py
@@ -22,6 +22,9 @@
 WATCHED_SECONDS = 12.0  # from the purge on
 NOTICE_SECONDS = 1.0 + 0.05  # `noticeTime` of the settings, and what each limit is longer by on sockets
 DONE_SECONDS = 6.0  # `goneEverywhere`: by then each cache has dropped the older copies
+TOLD_AFTER_STOP_SECONDS = (
+    4.0  # who takes the slow coordinator for a stopped one grants so long from the break on
+)
 TOLD_AFTER_SECONDS = 7.0  # what the coordinator has to tell counts as told by then at the latest
 
 
@@ -81,6 +84,7 @@
     old: list[float] = []
     asking = asyncio.create_task(ask_for_it(front.address, kinds, old))
     await asyncio.sleep(QUIET_SECONDS)
+    broken_off_at = time.time()
     if common.TROUBLE:
         coordinator.answer_seconds = ANSWER_SECONDS
         coordinator.break_off()
@@ -94,7 +98,13 @@
     await asking
     if common.TROUBLE:
         asked_again = [at for at in coordinator.asked if at > purged_at]
-        told_at = min([*asked_again, purged_at + TOLD_AFTER_SECONDS])
+        asked_at = min([*asked_again, purged_at + TOLD_AFTER_SECONDS])
+        told_at = min(max(asked_at, broken_off_at + TOLD_AFTER_STOP_SECONDS), purged_at + TOLD_AFTER_SECONDS)
+        early = [at for at in copies.answered_old if at > asked_at + NOTICE_SECONDS]
+        rig.record.line(
+            f"the front asked again {asked_at - purged_at:.2f} s after the purge; with that as told "
+            f"{len(early)} requests would be past the limit"
+        )
     else:
         told_at = purged_at
     for at in coordinator.asked:
