--- a/review/10/play.py
+++ b/review/10/play.py
@@ -16,6 +16,7 @@
 CLIENTS, PARTS = 4, 24  # a connection may have 32 requests open
 PART_BYTES = 240_000  # the most that an object may hold
 BYTES_PER_S = 1_000_000.0
+RECEIVE_BUFFER_BYTES = 128 << 10  # of a client: the size with which the system begins, and which it may tune
 ANSWER_SECONDS = 0.02  # how long a quay cache takes
 PATIENCE_MS = 6000
 MARGIN_SECONDS = 6.0  # waited beyond the patience: the time that the reading takes does not count
@@ -50,7 +51,9 @@
     await front.start()
     await front.ready()
     speed = BYTES_PER_S if common.TROUBLE else 0.0
-    clients = [await common.Client.connect(front.address, speed) for _ in range(CLIENTS)]
+    clients = [
+        await common.Client.connect(front.address, speed, RECEIVE_BUFFER_BYTES) for _ in range(CLIENTS)
+    ]
     items = [os.urandom(8).hex() for _ in clients]
     sent_at = time.time()
     asked = [await ask_all(client, item) for client, item in zip(clients, items, strict=True)]
--- a/review/7/play.py
+++ b/review/7/play.py
@@ -14,9 +14,12 @@
 
 import rig as common  # noqa: E402
 
-PARTS = 14  # open at first; a connection may have 32 requests open
+PARTS = 12  # open at first; a connection may have 32 requests open
 PART_BYTES = 240_000  # the most that an object may hold
 BYTES_PER_S = 1_000_000.0
+RECEIVE_BUFFER_BYTES = (
+    128 << 10
+)  # of the client: the size with which the system begins, and which it may tune
 ANSWER_SECONDS = 0.02  # how long a quay cache takes
 PATIENCE_MS = 6000
 TERM_AFTER_SECONDS = 0.6  # after the requests
@@ -41,7 +44,7 @@
     front = common.Front(rig, common.config([cache.entry() for cache in caches], coordinator.port))
     await front.start()
     await front.ready()
-    client = await common.Client.connect(front.address, BYTES_PER_S)
+    client = await common.Client.connect(front.address, BYTES_PER_S, RECEIVE_BUFFER_BYTES)
     first = await client.ask(route="page", patience="2500", entity=os.urandom(8).hex())
     if await client.reply(first, 3.0) is None:
         raise RuntimeError("the first request got no answer")
--- a/review/common_2/rig.py
+++ b/review/common_2/rig.py
@@ -279,9 +279,14 @@
         self._task = asyncio.create_task(self._read())
 
     @classmethod
-    async def connect(cls, address: tuple[str, int], bytes_per_s: float = 0.0) -> Client:
+    async def connect(
+        cls, address: tuple[str, int], bytes_per_s: float = 0.0, receive_buffer_bytes: int = 0
+    ) -> Client:
+        """Connects; a receive buffer of a given size is not tuned by the system, and 0 leaves it to that."""
         sock = socket.socket()
         sock.setblocking(False)
+        if receive_buffer_bytes:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_buffer_bytes)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         try:
             await asyncio.get_running_loop().sock_connect(sock, address)
