Log what a connection to the coordinator had received when it ended

Needed to tell apart why a front misses events beside a slow coordinator: a connection that was never established (no open_s), one that was lost or could not be read (frames above 0), and one on which the front did not stay for the first answer (frames 0). The line "connection to the coordinator lost" now has frames and open_s.

--- a/zincladder/net/coordinator_watch.py
+++ b/zincladder/net/coordinator_watch.py
@@ -61,6 +61,10 @@
         self._connection: _WatchConnection | None = None
         self._last_frame: Frame | None = None
         self._polled_at = 0.0
+        # Of the current connection, for the log line of its end: they tell one that was not answered from one
+        # that was lost, or that was never established.
+        self._frames_received = 0
+        self._opened_at: float | None = None
 
     def follow(self, coordinator: Address) -> None:
         """Switches to another address, where the watch continues after the last event."""
@@ -94,6 +98,7 @@
         self._freshness.connect_started(monotonic())
         while True:
             with anyio.CancelScope() as self._attempt_scope:
+                self._frames_received, self._opened_at = 0, None
                 try:
                     await self._follow_once()
                 except (ConnectionEndedError, OSError, TimeoutError) as fault:
@@ -101,7 +106,11 @@
                         self._backoff_seconds = MIN_BACKOFF_SECONDS
                     reason = str(fault) or type(fault).__name__
                     self._rate_limited_log.warning(
-                        "connection to the coordinator lost", reason=reason, last_event=self.last_event
+                        "connection to the coordinator lost",
+                        reason=reason,
+                        last_event=self.last_event,
+                        frames=self._frames_received,
+                        open_s=round(monotonic() - self._opened_at, 3) if self._opened_at else None,
                     )
                 except Exception:  # after any error the watch reconnects, or the front would miss events
                     log.exception(
@@ -118,6 +127,7 @@
         try:
             with anyio.fail_after(CONNECT_TIMEOUT_SECONDS):
                 sock = await connect(*self._coordinator)
+            self._opened_at = monotonic()
             WriteQueue(sock).put([self.last_event.to_bytes(8, "big")])
             self._freshness.catch_up_requested(monotonic())
             self._connection = _WatchConnection(sock, self._on_frame, self._on_frames_complete)
@@ -134,6 +144,7 @@
 
     def _on_frame(self, frame: Frame, waited_seconds: float) -> None:
         self._last_frame = frame
+        self._frames_received += 1
         if not self.connected:
             self._rate_limited_log.info(
                 "connected to the coordinator",
