Stay for the first answer of a coordinator, however slow it is

Cause: the time-out of a silent stream (1.6 s) also ended a connection on which the first answer was awaited. Each new connection made the coordinator begin anew, so no answer was ever heard. Evidence: open_s 1.6 and frames 0 on each connection after the break; ruled out by the same lines: connections that were lost, never established, or could not be read.

Now a connection stays open until its first frame. One that the network has cut off looks the same, so the front asks again on further connections (after 1.6 s, then about every 3.2 s, five at most, the oldest is closed for the next); the first that is answered is followed. Decisions wait as before, 1.6 s a break and 3 s at a start at the most: the events count as asked for from the first of these connections, and an answer that comes after the wait is used once it is read whole.

--- a/tests/discovery/test_freshness.py
+++ b/tests/discovery/test_freshness.py
@@ -146,3 +146,36 @@
     freshness.frame_received(100.2, ends_answer=False)
     freshness.watch_failed(100.21)
     assert freshness.seconds_until_usable(100.21 + ANSWER_GAP_SECONDS) > 1
+
+
+def test_a_catch_up_request_that_is_made_again_counts_from_the_first() -> None:
+    # Events count as delivered as soon as the front has asked for them, on whichever connection.
+    freshness = following()
+    freshness.watch_failed(100.0)
+    freshness.catch_up_requested(100.1)
+    freshness.catch_up_requested(100.3)
+    assert freshness.seconds_until_usable(100.34) == 0 and freshness.seconds_until_usable(100.36) > 0
+
+
+def test_decisions_wait_for_the_rest_of_an_answer_that_comes_after_the_longest_wait() -> None:
+    # Guards against decisions between two events of a very late answer, of which the second one drains.
+    for freshness, asked_at in ((started(), 100.0), (following(), 101.0)):
+        if asked_at > 100.0:
+            freshness.watch_failed(asked_at)
+        freshness.catch_up_requested(asked_at)
+        assert freshness.seconds_until_usable(asked_at + 9.9) == 0
+        freshness.frame_received(asked_at + 10.0, ends_answer=False)
+        assert 0 < freshness.seconds_until_usable(asked_at + 10.001) <= ANSWER_GAP_SECONDS
+        freshness.frame_received(asked_at + 10.01, ends_answer=False)
+        assert 0 < freshness.seconds_until_usable(asked_at + 10.011) <= ANSWER_GAP_SECONDS
+        assert freshness.seconds_until_usable(asked_at + 10.01 + ANSWER_GAP_SECONDS) == 0
+
+
+def test_a_front_waits_once_for_a_coordinator_that_is_slow_to_answer() -> None:
+    freshness = following()
+    freshness.watch_failed(101.0)
+    freshness.catch_up_requested(101.05)
+    assert freshness.seconds_until_usable(101.5) > 0
+    assert freshness.seconds_until_usable(101.0 + RESYNC_SECONDS) == 0
+    freshness.catch_up_requested(102.65)  # on a further connection
+    assert freshness.seconds_until_usable(102.7) == 0
--- a/tests/support/stub_coordinator.py
+++ b/tests/support/stub_coordinator.py
@@ -41,15 +41,16 @@
         while len(data) < 8:
             data += await stream.receive()
         self.after.append(int.from_bytes(data, "big"))
+        last = self.after[-1]
         if self.may_answer is not None:
             await self.may_answer.wait()
-        for number, kind, payload in self.events:
-            if number > self.after[-1]:
-                await stream.send(_frame(number, kind, payload))
-        self.streams.append(stream)
-        followed, self.followed = self.followed, anyio.Event()
-        followed.set()
         with contextlib.suppress(anyio.BrokenResourceError, anyio.ClosedResourceError):
+            for number, kind, payload in self.events:
+                if number > last:
+                    await stream.send(_frame(number, kind, payload))
+            self.streams.append(stream)
+            followed, self.followed = self.followed, anyio.Event()
+            followed.set()
             while True:
                 async with self.turn:
                     await stream.send(_frame(0, 0, b""))
--- a/zincladder/discovery/freshness.py
+++ b/zincladder/discovery/freshness.py
@@ -9,6 +9,8 @@
 
     STARTING ----- answer ---> FOLLOWING ---- failure ----> RECONNECTING
     STARTING ----- MAX_FAILED_ATTEMPTS failures ----------> UNREACHABLE
+    STARTING ----- frame of an answer, if the wait is over
+                                                      ----> RECONNECTING
     RECONNECTING - answer ---> FOLLOWING
     RECONNECTING - MAX_FAILED_ATTEMPTS failures ----------> UNREACHABLE
     UNREACHABLE -- answer ---> FOLLOWING
@@ -71,8 +73,11 @@
             self._phase_since = now
 
     def catch_up_requested(self, now: float) -> None:
-        """A catch-up request was sent: for all events after the last one received."""
-        self._catch_up_requested_at = now
+        """A catch-up request was sent: for all events after the last one received.
+
+        It may be sent on several connections until it is answered on one; its time is that of the first.
+        """
+        self._catch_up_requested_at = min(self._catch_up_requested_at, now)
         if self.phase is WatchPhase.UNREACHABLE and not self._timed_out:
             self._enter(WatchPhase.RECONNECTING, now)
 
@@ -85,8 +90,8 @@
         if ends_answer or self._catch_up_requested_at == math.inf:
             self._follow(now)
             return
-        self._answer_frame_at = now
-        if self.phase is WatchPhase.UNREACHABLE:
+        is_first_frame, self._answer_frame_at = self._answer_frame_at is None, now
+        if is_first_frame and self._is_wait_over(now):
             self._enter(WatchPhase.RECONNECTING, now)
 
     def _follow(self, frame_at: float) -> None:
@@ -95,7 +100,7 @@
         self._catch_up_requested_at, self._answer_frame_at = math.inf, None
 
     def watch_failed(self, now: float, timed_out: bool = False) -> None:
-        """The connection failed or ended; `timed_out` is true if it was open but received no frame in time.
+        """No connection is left; `timed_out` is true if one was open but received no frame in time.
 
         In UNREACHABLE, decisions do not wait again for a coordinator that timed out. They do for one that
         closed the connection: this costs no time, and the coordinator may have recovered.
@@ -147,5 +152,17 @@
             case WatchPhase.UNREACHABLE:
                 return 0.0
 
+    def _is_wait_over(self, now: float) -> bool:
+        """Whether decisions have stopped waiting for the answer to the catch-up request."""
+        match self.phase:
+            case WatchPhase.STARTING:
+                return self._seconds_left(INITIAL_SYNC_SECONDS, now) == 0
+            case WatchPhase.RECONNECTING:
+                return self._seconds_left(RESYNC_SECONDS, now) == 0
+            case WatchPhase.FOLLOWING:
+                return False
+            case WatchPhase.UNREACHABLE:
+                return True
+
     def _seconds_left(self, limit: float, now: float) -> float:
         return limit if self._phase_since is None else max(0.0, self._phase_since + limit - now)
