Plug-in: give each call its own reply, whatever else arrives on the connection

Cause: the plug-in passed on whatever bytes a connection held as the reply to the call sent last. Evidence: the case's record shows that the endpoint ran and answered each call in order and the calls were one reply behind from the doubled one on. Ruled out: a repeated call (the endpoint ran 20 calls for 20), and a mix-up in the front (it is not on that path).

Now the plug-in sends each call under a random sequence number, drops replies under another one, and gives the library its own number back. The library gets no byte beyond its reply, as its buffers would keep that: the end of a reply without frame is found by the library's own protocol, and what follows a reply within its frame is cut off.

Two stand-ins of the tests answered with a constant number or counted runs by the number that the library had set; they now return the number of the call, and count by a field of it. What they check is the same.

--- a/tests/plugin/test_repeated_writes.py
+++ b/tests/plugin/test_repeated_writes.py
@@ -32,23 +32,24 @@
 from zincladder.plugin.transport import SteeredTransport
 
 DEADLINE_SECONDS = 0.5
+NUMBER_AT = 18  # the sequence number in a framed call: after the lengths, the version and "handle"
 REPLY, REFUSAL = 0, 1  # field numbers of the result
 Respond = Callable[[socket.socket, bytes], None]
 
 
-def reply(field: int = REPLY) -> bytes:
-    """Returns a framed reply with an empty struct in this field of the result."""
-    message = struct.pack(">Ii", 0x80010002, 6) + b"handle" + struct.pack(">i", 1)
+def reply(call: bytes, field: int = REPLY) -> bytes:
+    """Returns a framed reply to a framed call, with an empty struct in this field of the result."""
+    message = struct.pack(">Ii", 0x80010002, 6) + b"handle" + call[NUMBER_AT : NUMBER_AT + 4]
     message += struct.pack(">bh", TType.STRUCT, field) + b"\0\0"
     return struct.pack(">i", len(message)) + message
 
 
-def answer(sock: socket.socket, _: bytes) -> None:
-    sock.sendall(reply())
+def answer(sock: socket.socket, call: bytes) -> None:
+    sock.sendall(reply(call))
 
 
-def refuse(sock: socket.socket, _: bytes) -> None:
-    sock.sendall(reply(REFUSAL))
+def refuse(sock: socket.socket, call: bytes) -> None:
+    sock.sendall(reply(call, REFUSAL))
 
 
 def reset(sock: socket.socket, _: bytes) -> None:
@@ -60,8 +61,8 @@
     sock.close()
 
 
-def reset_within_the_reply(sock: socket.socket, _: bytes) -> None:
-    sock.sendall(reply()[:12])
+def reset_within_the_reply(sock: socket.socket, call: bytes) -> None:
+    sock.sendall(reply(call)[:12])
     time.sleep(0.05)
     reset(sock, b"")
 
@@ -192,7 +193,7 @@
     monkeypatch: pytest.MonkeyPatch, wrap: type[TTransportBase]
 ) -> None:
     # Code that Thrift generates for Python writes 0 as the sequence number of every call.
-    unframed = lambda sock, _: sock.sendall(reply()[4:])  # noqa: E731
+    unframed = lambda sock, call: sock.sendall(reply(bytes(4) + call)[4:])  # noqa: E731
     script = [answer if wrap is TFramedTransport else unframed] * 3
     with endpoint(monkeypatch, *script) as origin:
         transport = wrap(steered())
@@ -221,8 +222,8 @@
 
 def test_a_connection_that_ended_while_idle_is_not_used(monkeypatch: pytest.MonkeyPatch) -> None:
     # A write on it would fail with its outcome unknown, though it never ran.
-    def answer_and_end(sock: socket.socket, _: bytes) -> None:
-        sock.sendall(reply())
+    def answer_and_end(sock: socket.socket, call: bytes) -> None:
+        sock.sendall(reply(call))
         sock.close()
 
     with endpoint(monkeypatch, answer_and_end) as origin:
@@ -234,9 +235,9 @@
 
 
 def test_of_two_threads_with_the_same_booking_one_sends_it(monkeypatch: pytest.MonkeyPatch) -> None:
-    def answer_late(sock: socket.socket, _: bytes) -> None:
+    def answer_late(sock: socket.socket, call: bytes) -> None:
         time.sleep(0.1)
-        sock.sendall(reply())
+        sock.sendall(reply(call))
 
     results: list[str] = []
     with endpoint(monkeypatch, answer_late, answer_late) as origin:
@@ -289,8 +290,8 @@
 
 def test_a_reset_within_an_unframed_reply_settles_no_booking(monkeypatch: pytest.MonkeyPatch) -> None:
     # The library opens the transport again, which does not show that it has read the reply.
-    def reset_within_the_message(sock: socket.socket, _: bytes) -> None:
-        sock.sendall(reply()[4:16])
+    def reset_within_the_message(sock: socket.socket, call: bytes) -> None:
+        sock.sendall(reply(bytes(4) + call)[4:16])
         time.sleep(0.05)
         reset(sock, b"")
 
--- a/tests/plugin/test_transport.py
+++ b/tests/plugin/test_transport.py
@@ -24,7 +24,7 @@
 
 
 class ThriftEndpoint(StubCache):
-    """Runs calls and counts them by sequence number.
+    """Runs calls and counts them by their field `entity`.
 
     The next `calls_to_drop` calls run, but their connection is closed without an answer. If `silent` is set,
     calls get no answer and their connection stays open.
@@ -47,7 +47,7 @@
                         return
                 size = 4 + int.from_bytes(data[:4], "big")
                 call, data = thrift.read_call(data[4:size]), data[size:]
-                self.runs[call.seq] += 1
+                self.runs[int(call.fields["entity"])] += 1
                 if self.silent:
                     await anyio.sleep_forever()
                 if self.calls_to_drop:
@@ -76,8 +76,16 @@
 
 
 def call(protocol: TBinaryProtocol, seq: int) -> str:
-    """Calls `handle` without arguments, as generated code does; returns the name of the endpoint."""
+    """Calls `handle` as generated code does, with its number as `entity`; returns the endpoint's name.
+
+    The plug-in sends the call under a sequence number of its own, and the reply has the library's again.
+    """
     protocol.writeMessageBegin("handle", TMessageType.CALL, seq)
+    protocol.writeFieldBegin("fields", TType.MAP, 1)
+    protocol.writeMapBegin(TType.STRING, TType.STRING, 1)
+    protocol.writeString("entity")
+    protocol.writeString(str(seq))
+    protocol.writeMapEnd()
     protocol.writeFieldStop()
     protocol.writeMessageEnd()
     protocol.trans.flush()
--- a/zincladder/plugin/messages.py
+++ b/zincladder/plugin/messages.py
@@ -1,4 +1,4 @@
-"""Reads from Thrift messages whether two calls are the same, and how a call was answered."""
+"""Reads and changes Thrift messages: the request in a call, sequence numbers, and the kind of a reply."""
 
 from __future__ import annotations
 
@@ -9,14 +9,19 @@
 from thrift.protocol.TCompactProtocol import TCompactProtocol
 from thrift.protocol.TProtocol import TProtocolBase
 from thrift.Thrift import TMessageType, TType
-from thrift.transport.TTransport import TMemoryBuffer
+from thrift.transport.TTransport import TMemoryBuffer, TTransportBase, TTransportException
 
 FRAME_LENGTH_BYTES = 4
 COMPACT_PROTOCOL_ID = 0x82
 ID_FIELD = b"trace"  # names a request in the platform's protocol; a repeat has the same value
 FIELDS_ARGUMENT, REFUSED_EXCEPTION = 1, 1  # field numbers in the service's definition
 KEY_BYTES = 16
-MAX_REPLY_HEAD_BYTES = 256  # enough for the name of the method and the kind of the reply
+MAX_HEAD_BYTES = 4096  # enough for the name of a method
+STRICT_VERSION_BIT = 0x80  # in the first byte of a message of the strict binary protocol
+
+
+class UnreadableMessageError(Exception):
+    """Bytes are no message of a protocol that can be read."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -33,7 +38,7 @@
     A library may give a repeated call another sequence number. Without an id such a call looks like a new
     one, and two calls with the same bytes look like one.
     """
-    request_id = _request_id(_message(call))
+    request_id = _request_id(without_frame(call))
     if request_id is None:
         return CallIdentity(_key(b"message", call), has_id=False)
     return CallIdentity(_key(b"id", request_id), has_id=True)
@@ -48,20 +53,23 @@
     return int.from_bytes(call[:FRAME_LENGTH_BYTES], "big") == len(call) - FRAME_LENGTH_BYTES
 
 
-def _message(call: bytes) -> bytes:
+def without_frame(call: bytes) -> bytes:
+    """Returns the message of a call, without the length that a framed transport writes before it."""
     return call[FRAME_LENGTH_BYTES:] if is_framed(call) else call
 
 
-def _protocol(message: bytes) -> TProtocolBase:
-    buffer = TMemoryBuffer(message)
-    is_compact = message[:1] == bytes([COMPACT_PROTOCOL_ID])
-    return TCompactProtocol(buffer) if is_compact else TBinaryProtocol(buffer)
+def protocol_over(transport: TTransportBase, first_byte: bytes) -> TProtocolBase:
+    """Returns the protocol, compact or binary, of a message that begins with `first_byte`."""
+    if first_byte == bytes([COMPACT_PROTOCOL_ID]):
+        return TCompactProtocol(transport)
+    is_strict = bool(first_byte) and first_byte[0] & STRICT_VERSION_BIT != 0
+    return TBinaryProtocol(transport, strictWrite=is_strict)
 
 
 def _request_id(message: bytes) -> bytes | None:
     """Returns the id in the fields of a request; None if the message is no such request."""
     try:
-        protocol = _protocol(message)
+        protocol = protocol_over(TMemoryBuffer(message), message[:1])
         protocol.readMessageBegin()
         protocol.readStructBegin()
         while True:
@@ -82,41 +90,72 @@
     return {protocol.readBinary(): protocol.readBinary() for _ in range(size)}
 
 
-class ReplyReader:
-    """Follows the reply to one call as its bytes arrive."""
-
-    def __init__(self, framed: bool) -> None:
-        """Begins before the first byte; `framed` tells whether the reply begins with its length."""
-        self.framed, self._received, self._head = framed, 0, bytearray()
-
-    def feed(self, data: bytes) -> None:
-        """Takes the next bytes of the reply."""
-        self._received += len(data)
-        self._head += data[: MAX_REPLY_HEAD_BYTES - len(self._head)]
-
-    @property
-    def has_begun(self) -> bool:
-        """Whether a byte of the reply has arrived."""
-        return self._received > 0
-
-    @property
-    def is_whole(self) -> bool:
-        """Whether all of the reply has arrived; False if it has no length, so that its end is unknown."""
-        if not self.framed or self._received < FRAME_LENGTH_BYTES:
-            return False
-        return self._received >= FRAME_LENGTH_BYTES + int.from_bytes(self._head[:FRAME_LENGTH_BYTES], "big")
-
-    @property
-    def is_refusal(self) -> bool:
-        """Whether the reply is whole and says that nothing has run."""
-        if not self.is_whole:
-            return False
-        try:
-            protocol = _protocol(bytes(self._head[FRAME_LENGTH_BYTES:]))
-            _, message_type, _ = protocol.readMessageBegin()
-            protocol.readStructBegin()
-            _, field_type, number = protocol.readFieldBegin()
-        except Exception:  # as in `_request_id`
-            return False
-        kind = (message_type, field_type, number)
-        return bool(kind == (TMessageType.REPLY, TType.STRUCT, REFUSED_EXCEPTION))
+@dataclass(frozen=True, slots=True)
+class MessageHead:
+    """The beginning of a message, up to its fields."""
+
+    name: str
+    message_type: int  # a value of TMessageType
+    number: int  # the sequence number
+    size: int  # of the head in bytes
+
+
+def read_head(message: bytes) -> MessageHead | None:
+    """Returns the head of a message without frame; None if it is of no protocol that can be read.
+
+    These are the binary protocol, strict or not, and the compact protocol.
+    """
+    buffer = TMemoryBuffer(message[:MAX_HEAD_BYTES])
+    try:
+        name, message_type, number = protocol_over(buffer, message[:1]).readMessageBegin()
+    except Exception:  # as in `_request_id`
+        return None
+    return MessageHead(name, message_type, number, buffer.cstringio_buf.tell())
+
+
+def skip_message(transport: TTransportBase, first_byte: bytes) -> None:
+    """Reads a message without frame, of which `first_byte` is not consumed yet, from a transport to its end.
+
+    Raises UnreadableMessageError, and OSError and TTransportException of the transport.
+    """
+    try:
+        protocol = protocol_over(transport, first_byte)
+        protocol.readMessageBegin()
+        protocol.skip(TType.STRUCT)
+        protocol.readMessageEnd()
+    except (OSError, TTransportException):
+        raise
+    except Exception as error:  # as in `_request_id`
+        raise UnreadableMessageError(str(error)) from error
+
+
+def message_size(data: bytes) -> int:
+    """Returns the size of the message at the start of some bytes; raises UnreadableMessageError."""
+    buffer = TMemoryBuffer(data)
+    skip_message(buffer, data[:1])
+    return int(buffer.cstringio_buf.tell())
+
+
+def with_number(message: bytes, head: MessageHead, number: int) -> bytes:
+    """Returns a message without frame, whose head is `head`, with another sequence number."""
+    buffer = TMemoryBuffer()
+    protocol = protocol_over(buffer, message[:1])
+    protocol.writeMessageBegin(head.name, head.message_type, number)
+    return bytes(buffer.getvalue() + message[head.size :])
+
+
+def frame(message: bytes) -> bytes:
+    """Returns a message with its length before it, as a framed transport writes it."""
+    return len(message).to_bytes(FRAME_LENGTH_BYTES, "big") + message
+
+
+def is_refusal(reply: bytes) -> bool:
+    """Returns whether a whole reply without frame says that nothing has run."""
+    try:
+        protocol = protocol_over(TMemoryBuffer(reply), reply[:1])
+        _, message_type, _ = protocol.readMessageBegin()
+        protocol.readStructBegin()
+        _, field_type, number = protocol.readFieldBegin()
+    except Exception:  # as in `_request_id`
+        return False
+    return (message_type, field_type, number) == (TMessageType.REPLY, TType.STRUCT, REFUSED_EXCEPTION)
