Plug-in: hear a front that is slow to answer the DNS query

With answers of the front 0.4 s late no call was made: 10 queries in the 2.5 s of a call, each answered, none heard.

An answer may be as old as its query, and its age counts from there.

--- a/zincladder/plugin/transport.py
+++ b/zincladder/plugin/transport.py
@@ -15,19 +15,16 @@
 from contextlib import suppress
 
 import dns.exception
-import dns.message
-import dns.query
 import dns.rcode
 import dns.rdatatype
 from thrift.transport.TTransport import TTransportBase, TTransportException
 
 from zincladder.plugin.connection import Call, EndpointConnection
+from zincladder.plugin.front_query import Address, query_service
 from zincladder.plugin.messages import CallIdentity, identify, is_refusal, without_frame
 from zincladder.plugin.sent_writes import SentWrites
 
 MAX_ANSWER_AGE_SECONDS = 0.25  # clients have to leave a draining endpoint within 500 ms
-QUERY_TIMEOUT_SECONDS = 0.25  # an unanswered query is repeated after this time, until the call's deadline
-Address = tuple[str, int]
 SENT_WRITES = SentWrites()  # of this process, since a library may repeat a call on another transport
 
 
@@ -199,11 +196,17 @@
         return remaining
 
     def _query_endpoint(self) -> Address:
-        """Queries the front and returns the endpoint that it selects.
-
-        A query is repeated only if no answer arrives. A negative answer fails the call.
-        """
-        answer = self._query_front()
+        """Queries the front and returns the endpoint that it selects. A negative answer fails the call."""
+        try:
+            answer, asked_at = query_service(self._service_name, self._front, self._remaining_seconds)
+        except TimeoutError as error:
+            raise TTransportException(
+                TTransportException.TIMED_OUT, "the call's deadline has passed"
+            ) from error
+        except (OSError, dns.exception.DNSException) as error:
+            raise TTransportException(
+                TTransportException.NOT_OPEN, f"the DNS query to the front failed: {error}"
+            ) from error
         hosts = [
             data.address for rrset in answer.additional if rrset.rdtype == dns.rdatatype.A for data in rrset
         ]
@@ -211,24 +214,9 @@
         if len(hosts) != 1 or len(ports) != 1:
             code = dns.rcode.to_text(answer.rcode())
             raise TTransportException(TTransportException.NOT_OPEN, f"the front returned no endpoint: {code}")
-        self._endpoint_queried_at = time.monotonic()
+        self._endpoint_queried_at = asked_at
         return hosts[0], ports[0]
 
-    def _query_front(self) -> dns.message.Message:
-        query = dns.message.make_query(self._service_name, "SRV")
-        host, port = self._front
-        while True:
-            timeout = min(QUERY_TIMEOUT_SECONDS, self._remaining_seconds())
-            try:
-                answer, _ = dns.query.udp_with_fallback(query, host, timeout, port)
-            except dns.exception.Timeout:
-                continue
-            except (OSError, dns.exception.DNSException) as error:
-                raise TTransportException(
-                    TTransportException.NOT_OPEN, f"the DNS query to the front failed: {error}"
-                ) from error
-            return answer
-
     def _connect_to_current_endpoint(self) -> EndpointConnection:
         """Returns a connection to the endpoint that the front selects, on which a call can be told apart."""
         connection = self._connection
