--- a/benchmarks/rig.py
+++ b/benchmarks/rig.py
@@ -137,15 +137,19 @@
     operator: str = "",
     sockets: int = 256,
     memory_mb: int = 96,
+    coordinator_port: int = 0,
 ) -> AsyncIterator[Front]:
     """Runs a front from the checkout `program`, limited to `sockets` descriptors.
 
-    `operator` is the text of the operator's TOML file. Raises RuntimeError if the front doesn't start or
-    exits with an error.
+    `operator` is the text of the operator's TOML file, and `coordinator_port` is on loopback; 0: none.
+    Raises RuntimeError if the front doesn't start or exits with an error.
     """
     with tempfile.TemporaryDirectory() as folder:
         path, log = Path(folder) / "config.json", Path(folder) / "log"
-        path.write_text(json.dumps(configuration(ports, sockets, memory_mb)))
+        data = configuration(ports, sockets, memory_mb)
+        if coordinator_port:
+            data["coordinator"] = f"127.0.0.1:{coordinator_port}"
+        path.write_text(json.dumps(data))
         environ = os.environ | {"RELAY_CONFIG": str(path)}
         environ.pop("ZINCLADDER_OPERATOR", None)
         if operator:
