Links: stay for the answer of a replica that is slow

A replica that took over 2 s to answer a handshake was never linked: other replicas, processes with leases and operators' commands gave the connection up and dialed anew, without end. The cause is that of the watch on the coordinator: a time-out for the attempt that also undid its work.

--- a/zincladder/consensus/client.py
+++ b/zincladder/consensus/client.py
@@ -15,6 +15,7 @@
 from zincladder.consensus.errors import OutcomeUnknownError, RequestFailedError
 from zincladder.consensus.key_value_state import CompareAndSwap, CompareAndSwapResult, VersionedValue
 from zincladder.links.connection import LINK_ERRORS, Link, connect
+from zincladder.links.dialer import Dialer
 from zincladder.links.errors import HandshakeRejectedError
 from zincladder.links.frames import VERSION, Hello
 
@@ -40,12 +41,12 @@
 
         Raises one of LINK_ERRORS if the replica can't be reached or does not respond within the timeout.
         """
-        link, _ = await connect(parse_address(address), self._hello)
-        try:
-            with anyio.fail_after(timeout_seconds):
+        with anyio.fail_after(timeout_seconds):
+            link, _ = await connect(parse_address(address), self._hello, timeout_seconds)
+            try:
                 return await self._exchange(link, body)
-        finally:
-            await link.close()
+            finally:
+                await link.close()
 
     async def _exchange(self, link: Link, body: rpc.RequestBody) -> rpc.ResponseBody:
         self._last_number += 1
@@ -65,22 +66,30 @@
         """
         state = _RequestState(self._addresses)
         with anyio.move_on_after(timeout_seconds):
-            while True:
-                state.untried = dict(self._addresses)
-                while state.untried:
-                    response = await self._try_next_replica(state, body)
-                    if response is not None:
-                        return response
-                await anyio.sleep(RETRY_SECONDS)
+            async with Dialer(self._hello) as dialer:
+                return await self._request_until_answered(state, dialer, body)
         if state.outcome_unknown:
             raise OutcomeUnknownError("no response before the timeout")
         raise RequestFailedError(state.failure_summary())
 
-    async def _try_next_replica(self, state: _RequestState, body: rpc.RequestBody) -> rpc.ResponseBody | None:
+    async def _request_until_answered(
+        self, state: _RequestState, dialer: Dialer, body: rpc.RequestBody
+    ) -> rpc.ResponseBody:
+        while True:
+            state.untried = dict(self._addresses)
+            while state.untried:
+                response = await self._try_next_replica(state, dialer, body)
+                if response is not None:
+                    return response
+            await anyio.sleep(RETRY_SECONDS)
+
+    async def _try_next_replica(
+        self, state: _RequestState, dialer: Dialer, body: rpc.RequestBody
+    ) -> rpc.ResponseBody | None:
         """Sends the request to one replica. Returns None if another replica has to be tried."""
         name, address = state.untried.popitem()
         try:
-            link, _ = await connect(parse_address(address), self._hello)
+            name, link, _ = await dialer.connect(name, parse_address(address))
         except HandshakeRejectedError as error:
             state.failures[name] = str(error)
             return None
--- a/zincladder/consensus/peer_links.py
+++ b/zincladder/consensus/peer_links.py
@@ -15,7 +15,8 @@
 from zincladder.consensus.model import Membership, Message
 from zincladder.consensus.store import ReplicaStore
 from zincladder.durable.errors import JournalError
-from zincladder.links.connection import LINK_ERRORS, Link, ReconnectBackoff, SendQueue, connect
+from zincladder.links.connection import LINK_ERRORS, Link, ReconnectBackoff, SendQueue
+from zincladder.links.dialer import Dialer
 from zincladder.links.errors import HandshakeRejectedError
 from zincladder.links.frames import VERSION, Hello, Welcome
 from zincladder.support.rate_limited_log import RateLimitedLog
@@ -83,30 +84,34 @@
                 tasks.start_soon(self._maintain_link, name, peer)
 
     async def _maintain_link(self, name: str, peer: DialedPeer) -> None:
-        backoff, last_reason = ReconnectBackoff(self._random_fraction), ""
         with peer.scope:
-            while True:
+            async with Dialer(self._hello) as dialer:
+                await self._dial_until_cancelled(name, peer, dialer)
+
+    async def _dial_until_cancelled(self, name: str, peer: DialedPeer, dialer: Dialer) -> None:
+        backoff, last_reason = ReconnectBackoff(self._random_fraction), ""
+        while True:
+            try:
+                _, link, welcome = await dialer.connect(name, parse_address(peer.address))
                 try:
-                    link, welcome = await connect(parse_address(peer.address), self._hello)
-                    try:
-                        await self._check_welcome(name, welcome)
-                        backoff.reset()
-                        last_reason = ""
-                        await self._run_link(link, name, peer.queue)
-                    finally:
-                        await link.close()
-                except* HandshakeRejectedError as errors:
-                    reason = str(errors.exceptions[0])
-                    if reason != last_reason:  # logs a repeated reason only once
-                        last_reason = reason
-                        log.error("connection to another replica rejected", replica=name, reason=reason)
-                except* LINK_ERRORS:
-                    pass
-                except* JournalError:
-                    raise  # a replica that cannot write must stop
-                except* Exception:  # an error over one message must not stop a voting replica
-                    self._rate_limited_log.exception("link to another replica failed", replica=name)
-                await anyio.sleep(backoff.next_seconds())
+                    await self._check_welcome(name, welcome)
+                    backoff.reset()
+                    last_reason = ""
+                    await self._run_link(link, name, peer.queue)
+                finally:
+                    await link.close()
+            except* HandshakeRejectedError as errors:
+                reason = str(errors.exceptions[0])
+                if reason != last_reason:  # logs a repeated reason only once
+                    last_reason = reason
+                    log.error("connection to another replica rejected", replica=name, reason=reason)
+            except* LINK_ERRORS:
+                pass
+            except* JournalError:
+                raise  # a replica that cannot write must stop
+            except* Exception:  # an error over one message must not stop a voting replica
+                self._rate_limited_log.exception("link to another replica failed", replica=name)
+            await anyio.sleep(backoff.next_seconds())
 
     async def _run_link(self, link: Link, name: str, queue: SendQueue) -> None:
         async with anyio.create_task_group() as tasks:
--- a/zincladder/links/connection.py
+++ b/zincladder/links/connection.py
@@ -26,7 +26,7 @@
     encode_frame,
 )
 
-IO_TIMEOUT_SECONDS = 2.0  # connecting with the handshake may take so long, and so may sending a message
+IO_TIMEOUT_SECONDS = 2.0  # connecting may take so long, and so may sending a message, or a Hello to arrive
 FRAME_TIMEOUT_SECONDS = 10.0  # between two parts of one message
 READ_BYTES = 64 << 10
 MAX_REASON_LENGTH = 300
@@ -112,20 +112,24 @@
             await anyio.aclose_forcefully(self._stream)
 
 
-async def connect(address: Address, hello: Hello) -> tuple[Link, Welcome]:
+async def connect(
+    address: Address, hello: Hello, handshake_timeout_seconds: float = IO_TIMEOUT_SECONDS
+) -> tuple[Link, Welcome]:
     """Connects to a replica, and returns the link and the replica's Welcome.
 
+    `handshake_timeout_seconds` is how long the replica may take to answer once the connection is established.
     Raises HandshakeRejectedError if the replica rejects the connection, and one of CONNECTION_ERRORS
     or FrameError if the connection or the handshake fails.
     """
     with anyio.fail_after(IO_TIMEOUT_SECONDS):
         link = Link(await anyio.connect_tcp(*address))
-        try:
-            await link.send(hello)
+    try:
+        await link.send(hello)
+        with anyio.fail_after(handshake_timeout_seconds):
             answer = await link.receive(HandshakeResponse)
-        except BaseException:
-            await link.close()
-            raise
+    except BaseException:
+        await link.close()
+        raise
     if isinstance(answer, Rejected):
         await link.close()
         raise HandshakeRejectedError(answer.reason[:MAX_REASON_LENGTH])
