Remote write: let a slow receiver respond before its push is sent again

A receiver that took over 10 s for a response (5 s for the fleet's sums) got the same batch again and again and was never heard: the time-out of a push was also that of connecting, and each further push made the receiver begin anew. A push may take 30 s now, of which connecting 5 s, so that a receiver that is away is noticed sooner than before.

The new test (0.5, 2, 3, 5 and 10 s; each batch is pushed once) failed before.

--- a/tests/export/test_sender.py
+++ b/tests/export/test_sender.py
@@ -170,3 +170,39 @@
     config = RemoteWriteConfig("127.0.0.1", 1, "/", spool_folder=str(tmp_path / "file"))
     with pytest.raises(ConfigError, match=r"remote_write\.spool"):
         RemoteWrite(config, samples, lambda outcome, number: None)
+
+
+@pytest.mark.anyio
+async def test_a_receiver_that_is_slow_to_respond_gets_each_batch_once() -> None:
+    # Guards against a push that is given up before its response and sent again without end.
+    class SlowReceiver(Receiver):
+        def __init__(self, delay_seconds: float) -> None:
+            super().__init__()
+            self.delay_seconds = delay_seconds
+
+        async def _connection(self, stream: anyio.abc.ByteStream) -> None:
+            send = stream.send
+
+            async def delayed_send(item: bytes) -> None:
+                await anyio.sleep(self.delay_seconds)
+                await send(item)
+
+            stream.send = delayed_send  # type: ignore[method-assign]
+            await super()._connection(stream)
+
+    async def check(delay_seconds: float) -> None:
+        receiver, counts = SlowReceiver(delay_seconds), Counter[str]()
+        async with anyio.create_task_group() as tasks:
+            await tasks.start(receiver.run)
+            config = RemoteWriteConfig("127.0.0.1", receiver.port, "/api/v1/write", 60.0)
+            sender = RemoteWrite(config, samples, lambda outcome, n: counts.update({outcome: n}), FAST_RULES)
+            tasks.start_soon(sender.run)
+            with anyio.fail_after(delay_seconds + 2.0):
+                while not counts:
+                    await anyio.sleep(0.005)
+            tasks.cancel_scope.cancel()
+        assert counts == {"sent": 1} and len(receiver.pushes) == 1
+
+    async with anyio.create_task_group() as tasks:
+        for delay_seconds in (0.5, 2.0, 3.0, 5.0, 10.0):
+            tasks.start_soon(check, delay_seconds)
--- a/zincladder/export/fleet_metrics.py
+++ b/zincladder/export/fleet_metrics.py
@@ -18,7 +18,7 @@
 from zincladder.config import RemoteWriteConfig
 from zincladder.export import messages
 from zincladder.export.delivery import PushResponse
-from zincladder.export.push import PUSH_ERRORS, post
+from zincladder.export.push import PUSH_ERRORS, PUSH_TIMEOUT_SECONDS, post
 from zincladder.metrics.exposition import Sample
 from zincladder.tasks.context import TaskContext
 from zincladder.tasks.counter_sums import FleetTotals, decode_totals, encode_totals, next_sample_at
@@ -26,7 +26,6 @@
 # The value of this header is "TASK TOKEN". A receiver that supports it keeps the highest token of each task.
 FENCE_HEADER = "X-Zincladder-Fence"
 HTTP_STATUS_FENCED = 409  # the response of such a receiver to an older token
-PUSH_TIMEOUT_SECONDS = 5.0
 FLEET_ANSWERS_METRIC, FLEET_ATTEMPTS_METRIC = (
     "zincladder_fleet_class_answers_total",
     "zincladder_fleet_cache_attempts_total",
--- a/zincladder/export/push.py
+++ b/zincladder/export/push.py
@@ -14,6 +14,8 @@
 from zincladder.export.delivery import PushResponse, parse_retry_after
 from zincladder.export.messages import PushBody
 
+CONNECT_TIMEOUT_SECONDS = 5.0  # a receiver that is away is noticed sooner than one that is slow
+PUSH_TIMEOUT_SECONDS = 30.0  # for a whole push; a receiver that takes longer gets the same push again
 MAX_RESPONSE_BYTES = 1 << 16
 MAX_WRITTEN_DIGITS = 9
 RETRY_AFTER_HEADER = b"retry-after"
@@ -43,7 +45,9 @@
         One of PUSH_ERRORS: No response arrived.
     """
     connection = h11.Connection(h11.CLIENT)
-    async with await anyio.connect_tcp(config.host, config.port) as stream:
+    with anyio.fail_after(CONNECT_TIMEOUT_SECONDS):
+        connected = await anyio.connect_tcp(config.host, config.port)
+    async with connected as stream:
         headers = [*_headers(config, push), *further_headers()]
         events = (
             h11.Request(method="POST", target=config.path, headers=headers),
--- a/zincladder/export/sender.py
+++ b/zincladder/export/sender.py
@@ -17,11 +17,10 @@
 from zincladder.export.batch_queue import BatchQueue
 from zincladder.export.batch_store import SpooledBatch
 from zincladder.export.delivery import Delivery, DeliveryRules, PushOutcome, PushResponse
-from zincladder.export.push import PUSH_ERRORS, post
+from zincladder.export.push import PUSH_ERRORS, PUSH_TIMEOUT_SECONDS, post
 from zincladder.metrics.exposition import Sample
 from zincladder.support.rate_limited_log import RateLimitedLog
 
-PUSH_TIMEOUT_SECONDS = 10.0
 FINISH_POLL_SECONDS = 0.02
 MAX_SAMPLES_IN_A_ROW = 200  # after this many samples, other tasks can run before the next one is collected
 QUEUE_RETRY_SECONDS = 0.5  # delay before a queue that could not be used is tried again
