--- a/zincladder/cli/status.py
+++ b/zincladder/cli/status.py
@@ -17,8 +17,8 @@
 ANSWER_KINDS = ("succeeded", "declined", "aborted")
 
 
-def _call(address: str, line: str) -> str:
-    """Sends one line and returns the whole answer.
+def _call(address: str, line: str, timeout_seconds: float = TIMEOUT_SECONDS) -> str:
+    """Sends one line and returns the whole answer, whose parts each may take `timeout_seconds`.
 
     Raises click.BadParameter for a malformed address, and click.ClickException if the call fails.
     """
@@ -28,6 +28,7 @@
         raise click.BadParameter(f"{address!r} is no address like 127.0.0.1:7070") from None
     try:
         with socket.create_connection((host, port), TIMEOUT_SECONDS) as sock:
+            sock.settimeout(timeout_seconds)
             sock.sendall(line.encode() + b"\n")
             with sock.makefile("rb") as stream:
                 return stream.read().decode("ascii", "replace")
@@ -44,17 +45,18 @@
     """Print whether the front at ADDRESS can serve requests. Exits with 1 if it cannot."""
     deadline = time.monotonic() + wait
     while True:
-        answer, is_ready = _ready(address)
+        # A call that is given up before a slow answer, and made anew, would never hear one.
+        answer, is_ready = _ready(address, max(TIMEOUT_SECONDS, deadline - time.monotonic()))
         if is_ready or time.monotonic() >= deadline:
             click.echo(answer, err=not is_ready)
             sys.exit(0 if is_ready else 1)
         time.sleep(POLL_SECONDS)
 
 
-def _ready(address: str) -> tuple[str, bool]:
+def _ready(address: str, timeout_seconds: float) -> tuple[str, bool]:
     """Returns the answer to READY or the error of the call, and whether the front is ready."""
     try:
-        answer = _call(address, "READY").strip()
+        answer = _call(address, "READY", timeout_seconds).strip()
     except click.BadParameter:
         raise
     except click.ClickException as error:
