--- a/zincladder/plugin/connection.py
+++ b/zincladder/plugin/connection.py
@@ -3,7 +3,7 @@
 A connection may hold more than the reply that is awaited: a second copy of an earlier one, or a reply that no
 call asked for, also one that arrives between a look at the connection and the next call. So each call is sent
 under a random sequence number of its own, and the reply is known by it. A server that answers every call with
-number 0, as code does that writes its replies by hand, is recognized by its first reply; its connection is
+number 0, as simple implementations do, is recognized by its first reply; its connection is
 used for that call alone, as there a reply can be no other call's. The library gets its own number back.
 """
 
@@ -106,7 +106,7 @@
 
     @property
     def is_used_up(self) -> bool:
-        """Whether the reply to a further call could not be told from what belongs to an earlier one."""
+        """Whether the reply to a further call could not be distinguished from an earlier one."""
         return self._has_sent_call and not self._returns_numbers
 
     def begin(self, call: Call) -> bytes:
--- a/zincladder/plugin/transport.py
+++ b/zincladder/plugin/transport.py
@@ -145,7 +145,7 @@
             except OSError as error:
                 self._retry(error)
             except TTransportException:
-                self.close()  # what follows on the connection can't be told from the reply
+                self.close()  # what follows on the connection can't be distinguished from the reply
                 raise
 
     def _read_reply(self, max_bytes: int) -> bytes:
@@ -218,7 +218,7 @@
         return hosts[0], ports[0]
 
     def _connect_to_current_endpoint(self) -> EndpointConnection:
-        """Returns a connection to the endpoint that the front selects, on which a call can be told apart."""
+        """Returns a connection to the endpoint that the front selects, that can take a call."""
         connection = self._connection
         is_answer_old = time.monotonic() - self._endpoint_queried_at > MAX_ANSWER_AGE_SECONDS
         is_clean = connection is not None and connection.is_clean
