Soak: slow first answers of the coordinator, second copies and answers of no request

The restart soak had no answer of the coordinator above 0.8 s, so it saw nothing of the watch that hung up on one. 15% of the subscriptions are now answered after 0.5, 2, 3 or 5 s. A process that waits for such an answer goes on with what it knows; it counts as notified by the first answer that comes, on this connection or another one, and 7 s after a drain's beginning at the latest. All other subscriptions are judged as before. 5% of the endpoints' answers come a second time, at once or 5 ms later, and 5% behind one under an id that nobody sent; each client checks that the answer it gets is that to its request.

--- a/tests/support/stub_coordinator.py
+++ b/tests/support/stub_coordinator.py
@@ -68,8 +68,11 @@
         number = (self.events[-1][0] if self.events else 1) + 1
         self.events.append((number, kind, payload))
         async with self.turn:
-            for stream in self.streams:
-                await stream.send(_frame(number, kind, payload))
+            for stream in tuple(self.streams):
+                try:
+                    await stream.send(_frame(number, kind, payload))
+                except (anyio.BrokenResourceError, anyio.ClosedResourceError):
+                    self.streams.remove(stream)  # the front has closed it; others may still be open
 
 
 def _frame(number: int, kind: int, payload: bytes) -> bytes:
--- a/tests/test_restart_soak.py
+++ b/tests/test_restart_soak.py
@@ -2,7 +2,8 @@
 
 Each seed is one history of faults: a real front process is killed, paused or disconnected from the
 coordinator while endpoints begin to drain. The grace period of a drain starts when the front is notified of
-it. After that period no request may reach the endpoint, and no fill may name it as its source. Setting
+it. After that period no request may reach the endpoint, and no fill may name it as its source. Some answers
+of the coordinator are slow, and some of the endpoints come twice or with one of no request. Setting
 `SOAK_SEEDS=50` runs 50 seeds instead of 4.
 """
 
@@ -41,6 +42,12 @@
 STARTUP_SECONDS = 0.1  # shorter than any front process takes until it listens
 DRAINING = 1
 MAX_FRAME_GAP_SECONDS = 0.005  # between two events that the coordinator sends one after the other
+QUICK_ANSWER_SECONDS = (0.0, 0.0, 0.3, 0.8)  # after a subscription; decisions wait for these
+SLOW_ANSWER_SECONDS = (0.5, 2.0, 3.0, 5.0)  # decisions may go on before these have come
+SLOW_ANSWER_SHARE = 0.15  # of subscriptions
+MAX_NOTICE_SECONDS = 7.0  # a drain counts as notified so long after its beginning at the latest
+SECOND_COPY_SHARE, ANSWER_AHEAD_SHARE = 0.05, 0.05  # of the answers of the endpoints
+LATE_COPY_SECONDS = 0.005
 
 
 @dataclass
@@ -50,6 +57,7 @@
     endpoint: str
     at: float  # when the coordinator began the drain
     notified_at: float | None  # None: the running process doesn't count as notified yet
+    was_sent: bool = False  # to a process that follows, or with an answer
 
 
 @dataclass
@@ -71,6 +79,8 @@
     started_at: float = 0.0
     process_answered: bool = False  # whether the running process has received the events once
     gaps: Random = field(default_factory=lambda: Random(0))  # between the frames of an answer
+    slow: Random = field(default_factory=lambda: Random(0))  # which answers are slow, and how slow
+    slow_subscriptions: int = 0  # of the running process, which wait for their answer
 
     async def _connection(self, stream: anyio.abc.ByteStream) -> None:
         if self.down:
@@ -81,14 +91,29 @@
         except (anyio.EndOfStream, anyio.BrokenResourceError):
             return  # the process was killed after it connected, before it subscribed
         subscribed_at, started_at = monotonic(), self.started_at
-        self.note("process subscribed")
+        answer_seconds = self.random.choice(QUICK_ANSWER_SECONDS)
+        if self.slow.random() < SLOW_ANSWER_SHARE:
+            answer_seconds = self.slow.choice(SLOW_ANSWER_SECONDS)
+        self.note(f"process subscribed, is answered after {answer_seconds} s")
+        # While the process waits for a slow answer, it goes on with what it knows: it is notified by the
+        # first answer that comes, on this connection or on another one.
+        is_slow = answer_seconds not in QUICK_ANSWER_SECONDS
+        self.slow_subscriptions += is_slow
         for drain in self.drains:
-            if drain.notified_at is None:
+            if self.slow_subscriptions:
+                drain.notified_at = (
+                    None if drain.at > started_at and not drain.was_sent else drain.notified_at
+                )
+            elif drain.notified_at is None:
                 drain.notified_at = subscribed_at
         with contextlib.suppress(anyio.BrokenResourceError, anyio.ClosedResourceError):
-            await anyio.sleep(self.random.choice((0.0, 0.0, 0.3, 0.8)))
+            if await self.is_closed_within(stream, answer_seconds):
+                if self.started_at == started_at:
+                    self.slow_subscriptions -= is_slow
+                return await stream.aclose()
             if self.started_at != started_at:  # the process was replaced in the meantime
                 return await stream.aclose()
+            self.slow_subscriptions -= is_slow
             async with self.turn:
                 had_long_gap = await self.send_events(stream)
                 if self.started_at != started_at:  # the process was replaced while it was answered
@@ -98,6 +123,10 @@
                     for drain in self.drains:
                         if drain.notified_at == subscribed_at:
                             drain.notified_at = monotonic()
+                for drain in self.drains:
+                    drain.was_sent = True
+                    if drain.notified_at is None:
+                        drain.notified_at = min(monotonic(), drain.at + MAX_NOTICE_SECONDS)
                 self.streams.append(stream)
                 self.process_answered = True
                 self.note("subscription answered")
@@ -106,6 +135,14 @@
                     await stream.send(frame(0, 0, b""))
                 await anyio.sleep(0.3)
 
+    async def is_closed_within(self, stream: anyio.abc.ByteStream, seconds: float) -> bool:
+        """Waits; returns whether the process has closed the connection meanwhile."""
+        with anyio.move_on_after(seconds):
+            with contextlib.suppress(anyio.EndOfStream):
+                await stream.receive()
+            return True
+        return False
+
     async def send_events(self, stream: anyio.abc.ByteStream) -> bool:
         """Sends all events with short gaps; returns whether one was as long as the end of an answer."""
         sent_at, longest = monotonic(), 0.0
@@ -124,8 +161,9 @@
         whose connection was refused counts as notified when it subscribes again.
         """
         at = monotonic()
-        notified_at = at if self.streams or not (self.process_answered or self.turned_away) else None
-        self.drains.append(Drain(endpoint.name, at, notified_at))
+        is_starting = not (self.process_answered or self.turned_away or self.slow_subscriptions)
+        notified_at = at if self.streams or is_starting else None
+        self.drains.append(Drain(endpoint.name, at, notified_at, was_sent=bool(self.streams)))
         # If the connection has ended, the process gets the event when it subscribes again.
         with contextlib.suppress(anyio.BrokenResourceError, anyio.ClosedResourceError):
             await self.tell(2, endpoint.record(DRAINING))
@@ -153,7 +191,8 @@
         self.caches = [StubCache(f"s-{n:08x}", 0, self.script) for n in range(1, 7)]
         self.parents = [StubCache(f"s-{n:08x}", 1, self.script) for n in range(0xA0, 0xA4)]
         self.origin = StubCache("s-000000b0", 2, self.script)
-        self.coordinator = SlowCoordinator(random=self.random, note=self.note)
+        self.coordinator = SlowCoordinator(random=self.random, note=self.note, slow=Random(seed))
+        self.copies = Random(seed)  # which answers of endpoints come twice, or with one that nobody asked for
         self.address = ("127.0.0.1", free_port())
         self.received: list[ReceivedRequest] = []
         self.front: FrontProcess | None = None
@@ -167,7 +206,14 @@
     async def script(self, stub: StubCache, fetch: Fetch) -> None:
         names = (stub.name, *(v for k, v in fetch.fields.items() if k == "up"))
         self.check_request(ReceivedRequest(monotonic(), names))
+        kind = self.copies.random()
+        if kind < ANSWER_AHEAD_SHARE:
+            ahead = Fetch(f"{self.copies.getrandbits(60):016x}", fetch.fields, b"", fetch.stream, fetch.turn)
+            await ahead.answer(200, "tell=local,rev=aa,since=1", b"of no request")
         await serve(stub, fetch)
+        if kind > 1 - SECOND_COPY_SHARE:
+            await anyio.sleep(self.copies.choice((0.0, LATE_COPY_SECONDS)))
+            await serve(stub, fetch)
 
     def check_request(self, received: ReceivedRequest) -> None:
         self.received.append(received)
@@ -201,10 +247,12 @@
                         open_now, began = True, monotonic()
                         entity = f"{self.random.getrandbits(48):016x}"
                         trace = f"{self.random.getrandbits(60):016x}"
-                        await c.ask(
+                        seq = await c.ask(
                             entity=entity, trace=trace, patience=str(round(CLIENT_TIMEOUT_SECONDS * 1000))
                         )
-                        await c.reply()
+                        reply = await c.reply()
+                        if reply.seq != seq or (reply.kind == "served" and reply.body != entity.encode()):
+                            self.violations.append(f"{entity} was answered with {reply}")
                         self.answered, open_now = self.answered + 1, False
                         allowed = CLIENT_TIMEOUT_SECONDS + MAX_LATENESS_SECONDS + self.lag
                         if monotonic() - began > allowed + self.stopped_seconds(began):
@@ -232,6 +280,7 @@
         c.events.clear()
         c.streams.clear()
         c.started_at, c.process_answered, c.turned_away = monotonic(), False, 0
+        c.slow_subscriptions = 0
         for drain in c.drains:
             drain.notified_at = drain.at  # the configuration lists the endpoint as draining
         self.front = FrontProcess(self.folder, self.config())
