Replica client: match a response with the number of its own request

Found while searching for replies that are not matched with their call. A request now keeps its number.

--- a/zincladder/consensus/client.py
+++ b/zincladder/consensus/client.py
@@ -27,7 +27,7 @@
 
 
 class Client:
-    """Sends requests to a group, one at a time: it must not be shared by concurrent tasks."""
+    """Sends requests to a group, each on a connection of its own; tasks may share it."""
 
     def __init__(self, group: str, addresses: Mapping[str, str], name: str, role: str = "operator") -> None:
         self._addresses = dict(addresses)
@@ -49,11 +49,11 @@
                 await link.close()
 
     async def _exchange(self, link: Link, body: rpc.RequestBody) -> rpc.ResponseBody:
-        self._last_number += 1
-        await link.send(rpc.RpcRequest(self._last_number, body))
+        self._last_number = number = self._last_number + 1
+        await link.send(rpc.RpcRequest(number, body))
         while True:
             response: rpc.RpcResponse = await link.receive(rpc.RpcResponse)
-            if response.number == self._last_number:
+            if response.number == number:
                 return response.body
 
     async def request(
