--- a/tests/plugin/test_foreign_replies.py
+++ b/tests/plugin/test_foreign_replies.py
@@ -127,6 +127,10 @@
                 call = Received(self.protocol, self.framed, number if self.echoes else 0, name)
                 (self.script.pop(0) if self.script else answer)(sock, call)
 
+    def wrapper(self) -> type[TTransportBase]:
+        """The library's transport for this server's framing."""
+        return WRAPPERS["framed" if self.framed else "unframed"]
+
     def close(self) -> None:
         self._listener.close()
 
@@ -184,7 +188,7 @@
 
 def client(server: Server, write: bool = False) -> TTransportBase:
     steered = SteeredTransport("papers.main.example.org", ("127.0.0.1", 9), DEADLINE_SECONDS, write)
-    return (TFramedTransport if server.framed else TBufferedTransport)(steered)
+    return server.wrapper()(steered)
 
 
 def ask(server: Server, transport: TTransportBase, name: str, number: int = 0) -> str:
