--- a/tests/plugin/test_foreign_replies.py
+++ b/tests/plugin/test_foreign_replies.py
@@ -425,6 +425,20 @@
     assert foreign_results(echoes, framed, order) == 0
 
 
+@pytest.mark.parametrize("framed", (True, False))
+@pytest.mark.parametrize("protocol", (TBinaryProtocol, TJSONProtocol))
+def test_a_reply_without_a_number_that_came_before_its_call_is_not_returned(
+    protocol: Protocol, framed: bool
+) -> None:
+    # As on a connection that was opened for the call, and on which the server has spoken first.
+    sock = Arrival(message(protocol, framed, TMessageType.REPLY, 0, "greeting"), lambda received: b"")
+    connection = EndpointConnection(sock, lambda: 1.0)  # type: ignore[arg-type]
+    connection.begin(plugin_connection.Call.parse(message(protocol, framed, TMessageType.CALL, 7, "a")))
+    receive = connection.receive_reply if connection.can_find_reply_end else connection.receive_byte
+    with pytest.raises((TimeoutError, TTransportException)):
+        receive()
+
+
 COPY_ORDER: Order = [([], ["own", "copy of an earlier one"], []), ([], ["copy of an earlier one", "own"], [])]
 BETWEEN_ORDER: Order = [([], ["own"], []), (["copy of an earlier one"], ["own"], [])]
 NEXT_ORDER: Order = [([], ["own"], []), (["next number"], ["own"], [])]
