Plug-in: accept replies that hold bytes which are no text, and copy less

The fields are skipped as bytes now; the same in the search for a call's id. Four new tests (framed or not, binary and compact) failed before. Tests with text alone had not seen it.

--- a/tests/plugin/test_foreign_replies.py
+++ b/tests/plugin/test_foreign_replies.py
@@ -304,6 +304,34 @@
         assert server.connections == 5
 
 
+@pytest.mark.parametrize("framing", WRAPPERS)
+@pytest.mark.parametrize("protocol", PROTOCOLS)
+def test_a_reply_may_hold_bytes_that_are_no_text(
+    monkeypatch: pytest.MonkeyPatch, protocol: str, framing: str
+) -> None:
+    # The library's own way to skip a field decodes it as UTF-8.
+    body = bytes(range(256)) * 1000
+
+    def answer_bytes(sock: socket.socket, call: Received) -> None:
+        data = reply_to(call, text="x" * len(body)).replace(b"x" * len(body), body)
+        sock.sendall(data)
+
+    server = Server(PROTOCOLS[protocol], framing == "framed", script=[answer_bytes, answer])
+    with running(server, monkeypatch):
+        transport = client(server)
+        transport.open()
+        transport.write(message(server.protocol, False, TMessageType.CALL, 3, "a"))
+        transport.flush()
+        reply = server.protocol(transport)
+        assert reply.readMessageBegin()[2] == 3
+        reply.readStructBegin()
+        reply.readFieldBegin()
+        assert reply.readBinary() == body
+        reply.readFieldEnd()
+        assert reply.readFieldBegin()[1] == TType.STOP
+        assert ask(server, transport, "b") == "b" and server.connections == 1
+
+
 def test_a_oneway_call_uses_up_no_connection(monkeypatch: pytest.MonkeyPatch) -> None:
     def answer_nothing(sock: socket.socket, call: Received) -> None:
         pass
--- a/zincladder/plugin/connection.py
+++ b/zincladder/plugin/connection.py
@@ -33,7 +33,7 @@
 MAX_NUMBER = 2**31 - 1
 NO_NUMBER = 0  # in replies of servers that don't return the number of the call
 MAX_REPLY_BYTES = 100 << 20  # the limit that Thrift's libraries set for a message by default
-READ_BYTES = 1 << 16
+MIN_READ_BYTES, MAX_READ_BYTES = 1 << 14, 1 << 18  # of one read; a larger buffer costs time to allocate
 CALL_TYPES = (TMessageType.CALL, TMessageType.ONEWAY)
 REPLY_TYPES = (TMessageType.REPLY, TMessageType.EXCEPTION)
 
@@ -64,8 +64,7 @@
         """Returns the bytes to send under a sequence number; a call that can't be read stays as it is."""
         if self.head is None:
             return self.data
-        message = with_number(self.message, self.head, number)
-        return frame(message) if self.is_framed else message
+        return with_number(self.message, self.head, number, len(self.message), self.is_framed)
 
 
 class EndpointConnection:
@@ -173,12 +172,12 @@
         """
         assert call.head is not None
         if not call.is_framed:
-            return with_number(message, head, call.head.number)
+            return with_number(message, head, call.head.number, len(message), framed=False)
         try:
             size = message_size(message)
         except (UnreadableMessageError, OSError, TTransportException) as error:
             raise _unreadable(str(error)) from error
-        return frame(with_number(message[:size], head, call.head.number))
+        return with_number(message, head, call.head.number, size, framed=True)
 
     def receive_byte(self) -> bytes:
         """Waits for the next byte of a reply whose end is unknown, so that the library gets none beyond it.
@@ -201,7 +200,7 @@
         if not 0 <= size <= MAX_REPLY_BYTES:
             raise _unreadable(f"its length is {size}")
         self._receive_until(FRAME_LENGTH_BYTES + size)
-        return self._take(FRAME_LENGTH_BYTES + size)[FRAME_LENGTH_BYTES:]
+        return self._take(FRAME_LENGTH_BYTES + size, FRAME_LENGTH_BYTES)
 
     def _next_message(self) -> bytes:
         """Reads a message without frame to its end, which only its protocol shows."""
@@ -213,8 +212,10 @@
             raise _unreadable(str(error)) from error
         return self._take(source.position)
 
-    def _take(self, size: int) -> bytes:
-        data = bytes(self._received[:size])
+    def _take(self, size: int, skipped: int = 0) -> bytes:
+        """Removes the first `size` bytes that were received; returns them without the first `skipped`."""
+        with memoryview(self._received) as view:
+            data = bytes(view[skipped:size])
         del self._received[:size]
         return data
 
@@ -222,11 +223,11 @@
         if size > MAX_REPLY_BYTES + FRAME_LENGTH_BYTES:
             raise _unreadable("it is too long")
         while len(self._received) < size:
-            self._receive()
+            self._receive(size - len(self._received))
 
-    def _receive(self) -> None:
+    def _receive(self, missing_bytes: int = 0) -> None:
         self.limit_time()
-        data = self._sock.recv(READ_BYTES)
+        data = self._sock.recv(min(max(MIN_READ_BYTES, missing_bytes), MAX_READ_BYTES))
         if not data:
             raise ConnectionResetError("the connection ended before the whole reply arrived")
         self._received += data
--- a/zincladder/plugin/messages.py
+++ b/zincladder/plugin/messages.py
@@ -17,9 +17,29 @@
 FIELDS_ARGUMENT, REFUSED_EXCEPTION = 1, 1  # field numbers in the service's definition
 KEY_BYTES = 16
 MAX_HEAD_BYTES = 4096  # enough for the name of a method
+MAX_SKIP_DEPTH = 64  # of values within each other, as in the library
 STRICT_VERSION_BIT = 0x80  # in the first byte of a message of the strict binary protocol
 
 
+class _SkipsBytes:
+    """Lets a protocol skip strings of any bytes; the library's own way decodes them as UTF-8."""
+
+    def skip(self, ttype: int, max_depth: int = MAX_SKIP_DEPTH) -> None:
+        """Reads a value of a type of TType and drops it."""
+        if ttype == TType.STRING:
+            self.readBinary()  # type: ignore[attr-defined]
+        else:
+            super().skip(ttype, max_depth)  # type: ignore[misc]
+
+
+class _BinaryProtocol(_SkipsBytes, TBinaryProtocol):  # type: ignore[misc]
+    """The binary protocol, strict or not."""
+
+
+class _CompactProtocol(_SkipsBytes, TCompactProtocol):  # type: ignore[misc]
+    """The compact protocol."""
+
+
 class UnreadableMessageError(Exception):
     """Bytes are no message of a protocol that can be read."""
 
@@ -61,9 +81,9 @@
 def protocol_over(transport: TTransportBase, first_byte: bytes) -> TProtocolBase:
     """Returns the protocol, compact or binary, of a message that begins with `first_byte`."""
     if first_byte == bytes([COMPACT_PROTOCOL_ID]):
-        return TCompactProtocol(transport)
+        return _CompactProtocol(transport)
     is_strict = bool(first_byte) and first_byte[0] & STRICT_VERSION_BIT != 0
-    return TBinaryProtocol(transport, strictWrite=is_strict)
+    return _BinaryProtocol(transport, strictWrite=is_strict)
 
 
 def _request_id(message: bytes) -> bytes | None:
@@ -136,12 +156,16 @@
     return int(buffer.cstringio_buf.tell())
 
 
-def with_number(message: bytes, head: MessageHead, number: int) -> bytes:
-    """Returns a message without frame, whose head is `head`, with another sequence number."""
+def with_number(message: bytes, head: MessageHead, number: int, size: int, framed: bool) -> bytes:
+    """Returns the first `size` bytes of a message under another sequence number, with its length if framed.
+
+    `head` is the message's head.
+    """
     buffer = TMemoryBuffer()
-    protocol = protocol_over(buffer, message[:1])
-    protocol.writeMessageBegin(head.name, head.message_type, number)
-    return bytes(buffer.getvalue() + message[head.size :])
+    protocol_over(buffer, message[:1]).writeMessageBegin(head.name, head.message_type, number)
+    new_head, rest = buffer.getvalue(), memoryview(message)[head.size : size]
+    length = (len(new_head) + len(rest)).to_bytes(FRAME_LENGTH_BYTES, "big") if framed else b""
+    return b"".join((length, new_head, rest))
 
 
 def frame(message: bytes) -> bytes:
