Links: close surplus links of a slow replica, and send over the one that is left

Found by reading the repair of the slow handshakes again: a replica that answers several waiting connections at once holds a link for each, and may send its messages over one that nobody reads. The dialer closes the others when it returns a link, and those that are answered while its caller has one. A replica that uses the link which a peer has opened last goes back to an older one that is still open when that ends, instead of to none.

--- a/tests/links/test_slow_replicas.py
+++ b/tests/links/test_slow_replicas.py
@@ -17,6 +17,7 @@
 import msgspec
 import pytest
 
+from tests.support.coordinator_frames import until
 from zincladder.consensus import rpc
 from zincladder.consensus.client import Client
 from zincladder.links import dialer as dialing
@@ -205,3 +206,61 @@
         assert replica.connections == 20
     # A stand-in that sleeps does not see a close; what this side holds does.
     assert len(dialer._dials) <= dialing.MAX_UNANSWERED_DIALS
+
+
+async def test_a_replica_that_answers_all_connections_at_once_keeps_one_link(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    # Guards against messages that a replica sends over a link that nobody reads.
+    monkeypatch.setattr(dialing, "PATIENCE_SECONDS", 0.05)
+    may_answer, open_links = anyio.Event(), 0
+
+    async def serve(stream: anyio.abc.SocketStream) -> None:
+        nonlocal open_links
+        link = Link(stream)
+        await may_answer.wait()
+        try:
+            await accept_handshake(link, Welcome("k1", "id"), lambda hello: "")
+            open_links += 1
+            await link.receive(Text)
+        except LINK_ERRORS:
+            open_links -= 1
+
+    listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+    address = ("127.0.0.1", listener.extra(anyio.abc.SocketAttribute.local_port))
+    async with anyio.create_task_group() as tasks, Dialer(HELLO) as dialer:
+        tasks.start_soon(listener.serve, serve)
+        for _ in range(3):
+            with pytest.raises(TimeoutError):
+                await dialer.connect("k1", address)
+        may_answer.set()
+        _, link, _ = await dialer.connect("k1", address)
+        await until(lambda: open_links == 1)
+        await anyio.sleep(0.1)
+        assert open_links == 1
+        await link.close()
+        tasks.cancel_scope.cancel()
+
+
+async def test_a_link_that_is_answered_while_another_one_is_used_is_closed(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(dialing, "PATIENCE_SECONDS", 0.05)
+    ended = anyio.Event()
+
+    async def note_the_end(link: Link) -> None:
+        try:
+            await link.receive(Text)
+        finally:
+            ended.set()
+
+    slow, quick = SlowReplica(0.2, note_the_end), SlowReplica()
+    async with running(slow, quick), Dialer(HELLO) as dialer:
+        with pytest.raises(TimeoutError):
+            await dialer.connect("k1", slow.address)
+        name, link, _ = await dialer.connect("k2", quick.address)
+        with anyio.fail_after(2.0):
+            await ended.wait()
+        assert name == "k2"
+        assert (await link.receive(Text)).text == "hello"  # the link in use is as it was
+        await link.close()
--- a/zincladder/consensus/peer_links.py
+++ b/zincladder/consensus/peer_links.py
@@ -54,16 +54,18 @@
         self._dialed: dict[str, DialedPeer] = {}
         # Queues to members that have connected to this replica. A new replica has no addresses of members
         # yet, so it can send over these links only.
-        self._accepted_queues: dict[str, SendQueue] = {}
+        # For a moment there may be several, of which the last one that is open is used.
+        self._accepted_queues: dict[str, list[SendQueue]] = {}
         self._membership = Membership({})  # the membership of the latest `dial`
         self._rate_limited_log = RateLimitedLog()
 
     def send(self, to: str, message: Message) -> None:
         """Queues a message to a member; drops it if this replica neither dials it nor has a link from it."""
         dialed = self._dialed.get(to)
-        queue = dialed.queue if dialed else self._accepted_queues.get(to)
-        if queue is not None:
-            queue.put(message)
+        if dialed is not None:
+            dialed.queue.put(message)
+        elif accepted := self._accepted_queues.get(to):
+            accepted[-1].put(message)
 
     def dial(self, membership: Membership, tasks: anyio.abc.TaskGroup) -> None:
         """Starts links to new members, and ends links to members that were removed or have a new address."""
@@ -152,7 +154,8 @@
         """Serves the link of a replica that has connected to this one, until the link fails."""
         if not await self._disk.remember_peer(hello.name, hello.instance_id):
             return
-        queue = self._accepted_queues[hello.name] = SendQueue(MAX_QUEUED_MESSAGES_PER_MEMBER)
+        queue = SendQueue(MAX_QUEUED_MESSAGES_PER_MEMBER)
+        self._accepted_queues.setdefault(hello.name, []).append(queue)
         try:
             await self._run_link(link, hello.name, queue)
         except* HandshakeRejectedError as errors:
@@ -160,5 +163,7 @@
         except* LINK_ERRORS:
             pass
         finally:
-            if self._accepted_queues.get(hello.name) is queue:
+            accepted = self._accepted_queues[hello.name]
+            accepted.remove(queue)
+            if not accepted:
                 del self._accepted_queues[hello.name]
--- a/zincladder/links/dialer.py
+++ b/zincladder/links/dialer.py
@@ -45,7 +45,8 @@
 
     A connection on which a replica does not answer in time is kept, because dialing anew would make a slow
     replica begin anew. The next call dials once more, in case the first connection is cut off, and returns
-    whichever is answered first.
+    whichever is answered first. The replica takes each link for one that is read: those that are answered
+    while the caller has a link are closed, so that no message is sent over a link that nobody reads.
     """
 
     def __init__(self, hello: Hello) -> None:
@@ -53,6 +54,7 @@
         self._hello = hello
         self._dials: list[_Dial] = []  # oldest first
         self._dial_done = anyio.Event()
+        self._caller_has_link = False  # from the return of `connect` until the next call
 
     async def __aenter__(self) -> Dialer:
         """Starts to accept dials."""
@@ -78,6 +80,7 @@
         Raises HandshakeRejectedError if a replica rejects the connection, one of CONNECTION_ERRORS or
         FrameError if this connection fails, and TimeoutError after PATIENCE_SECONDS.
         """
+        self._caller_has_link = False
         unanswered = [dial for dial in self._dials if dial.name == name]
         if len(unanswered) >= MAX_UNANSWERED_DIALS:
             unanswered[0].scope.cancel()
@@ -86,10 +89,22 @@
         self._tasks.start_soon(self._run, dial, address)
         with anyio.fail_after(PATIENCE_SECONDS):
             while True:
-                done = self._take_finished(dial)
-                if done is not None:
-                    return done
+                answered = self._take_finished(dial)
+                if answered is not None:
+                    break
                 await self._dial_done.wait()
+        self._caller_has_link = True
+        await self._drop_surplus(answered)
+        return answered
+
+    async def _drop_surplus(self, answered: DialedLink) -> None:
+        """Gives up the other dials of the same replica, and closes links that are answered already."""
+        for dial in tuple(self._dials):
+            if dial.result is not None:
+                self._dials.remove(dial)
+                await dial.result.link.close()
+            elif dial.name == answered.name:
+                dial.scope.cancel()
 
     def _take_finished(self, newest: _Dial) -> DialedLink | None:
         """Returns a link whose handshake is answered; raises the error of the newest dial, or a rejection."""
@@ -109,7 +124,10 @@
         try:
             with dial.scope:
                 link, welcome = await connect(address, self._hello, HANDSHAKE_TIMEOUT_SECONDS)
-                dial.result = DialedLink(dial.name, link, welcome)
+                if self._caller_has_link:
+                    await link.close()
+                else:
+                    dial.result = DialedLink(dial.name, link, welcome)
         except Exception as error:  # `connect` raises it, or drops it with an earlier dial
             dial.error = error
         finally:
