Watch: go on after an error in the handling of a connection

The repair of the slow first answer had narrowed what is caught: an error while a lost connection is handled would have ended the watch, and the front with it. Found by reading it again; no such error was seen. The new test failed before.

--- a/tests/net/test_slow_coordinator.py
+++ b/tests/net/test_slow_coordinator.py
@@ -190,3 +190,24 @@
             await c.ask(entity=f"{number:016x}")
             assert (await c.reply()).kind == "served"
         assert len(drained.fetches) == before
+
+
+async def test_an_error_in_the_handling_of_a_connection_does_not_end_the_watch() -> None:
+    async def ends(self: Scripted, stream: anyio.abc.SocketStream, last: int) -> None:
+        pass
+
+    coordinator = Scripted([ends, healthy], newest=3)
+    errors = [ZeroDivisionError("a fault in the handling of a lost connection")]
+
+    def on_change() -> None:
+        if errors:
+            raise errors.pop()
+
+    async with anyio.create_task_group() as tasks:
+        await tasks.start(coordinator.run)
+        follower = watching.CoordinatorWatch(
+            coordinator.address, 1, lambda event: None, 5, on_change=on_change
+        )
+        tasks.start_soon(follower.run)
+        await until(lambda: follower.last_event == 3)
+        tasks.cancel_scope.cancel()
--- a/zincladder/net/coordinator_watch.py
+++ b/zincladder/net/coordinator_watch.py
@@ -119,7 +119,10 @@
         self._freshness.connect_started(monotonic())
         while True:
             with anyio.CancelScope() as self._attempt_scope:
-                await self._follow_once()
+                try:
+                    await self._follow_once()
+                except Exception:  # after any error the watch reconnects, or the front would miss events
+                    log.exception("unexpected error in the watch", last_event=self.last_event)
                 await anyio.sleep(self._backoff_seconds * self._random.uniform(*BACKOFF_JITTER))
                 self._backoff_seconds = min(2 * self._backoff_seconds, MAX_BACKOFF_SECONDS)
 
